Build of six modules, the world, settings tree, error table and scheduler interfaces

Cause: the repository was empty. Change: Maven modules as in the design, Spotless with palantir-java-format, Error Prone with Palantir's baseline checks, pinned versions; the world, request, error, time, time line and settings packages of core; the interfaces of a pool scheduler, of the platform and of grants; the baseline policy (least request of two); docs/INTERFACES.md.

--- /dev/null
+++ b/core/src/main/java/org/cowslippick/core/request/RequestId.java
@@ -0,0 +1,30 @@
+package org.cowslippick.core.request;
+
+import java.util.UUID;
+
+/** The identity that cowslippick gives to one attempt of a caller; unique over all entries. */
+public record RequestId(String value) implements Comparable<RequestId> {
+
+    private static final int MAXIMUM_LENGTH_CHARACTERS = 64;
+
+    public RequestId {
+        if (value.isEmpty() || value.length() > MAXIMUM_LENGTH_CHARACTERS) {
+            throw new IllegalArgumentException("request identity must have 1 to " + MAXIMUM_LENGTH_CHARACTERS
+                    + " characters, but has " + value.length());
+        }
+    }
+
+    public static RequestId random() {
+        return new RequestId(UUID.randomUUID().toString());
+    }
+
+    @Override
+    public int compareTo(RequestId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/cowslippick/core/settings/SectionKind.java
@@ -0,0 +1,39 @@
+package org.cowslippick.core.settings;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Arrays;
+import java.util.Optional;
+
+/** The kinds of sections in the settings tree, each written as alternating words and names. */
+public enum SectionKind {
+    DEFAULTS("defaults"),
+    FAILURE_DOMAIN("failure-domain"),
+    LINK("link", "to"),
+    TIER("tier"),
+    SERVICE("service"),
+    SERVICE_TIER("service", "tier"),
+    ENDPOINT("endpoint"),
+    ORGANISATION("organisation"),
+    ORGANISATION_SERVICE("organisation", "service"),
+    ORGANISATION_SERVICE_TIER("organisation", "service", "tier");
+
+    private final ImmutableList<String> words;
+
+    SectionKind(String... words) {
+        this.words = ImmutableList.copyOf(words);
+    }
+
+    /** The fixed words of a section header, such as {@code organisation} and {@code service}. */
+    public ImmutableList<String> words() {
+        return words;
+    }
+
+    /** How many names a section of this kind has. */
+    public int nameCount() {
+        return this == DEFAULTS ? 0 : words.size();
+    }
+
+    static Optional<SectionKind> ofWords(ImmutableList<String> words) {
+        return Arrays.stream(values()).filter(kind -> kind.words.equals(words)).findFirst();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/cowslippick/core/settings/Setting.java
@@ -0,0 +1,4 @@
+package org.cowslippick.core.settings;
+
+/** One key with its value. */
+public record Setting(SettingKey key, String value) {}
--- /dev/null
+++ b/core/src/main/java/org/cowslippick/core/settings/SettingChange.java
@@ -0,0 +1,18 @@
+package org.cowslippick.core.settings;
+
+import java.util.Optional;
+
+/**
+ * The difference of one setting between two documents.
+ *
+ * @param key the key, or empty where the section itself was added or removed
+ */
+public record SettingChange(
+        SectionName section, Optional<SettingKey> key, Optional<String> before, Optional<String> after) {
+
+    @Override
+    public String toString() {
+        return "[" + section + "]" + key.map(present -> " " + present.text()).orElse("") + ": "
+                + before.orElse("(absent)") + " -> " + after.orElse("(absent)");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/cowslippick/core/settings/SettingKey.java
@@ -0,0 +1,95 @@
+package org.cowslippick.core.settings;
+
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Optional;
+
+/** Every key of the settings tree: its type, the sections in which it may stand and those in which it must. */
+public enum SettingKey {
+    REGION(SettingType.NAME, required(SectionKind.FAILURE_DOMAIN)),
+    BYTES_PER_SECOND(SettingType.POSITIVE_COUNT, required(SectionKind.LINK)),
+    PRICE_PER_GIGABYTE(SettingType.POSITIVE_NUMBER, optional(SectionKind.LINK)),
+    RANK(SettingType.COUNT, required(SectionKind.TIER)),
+    WEIGHT(SettingType.POSITIVE_NUMBER, required(SectionKind.TIER)),
+    POOL(SettingType.NAME, required(SectionKind.SERVICE, SectionKind.ENDPOINT)),
+    KIND(SettingType.ENDPOINT_KIND, required(SectionKind.SERVICE, SectionKind.ENDPOINT)),
+    MODEL(SettingType.NAME, optional(SectionKind.SERVICE)),
+    DISPATCH(SettingType.DISPATCH_RULE, required(SectionKind.SERVICE)),
+    FAILURE_DOMAIN(SettingType.NAME, required(SectionKind.ENDPOINT)),
+    ADDRESS(SettingType.ADDRESS, required(SectionKind.ENDPOINT)),
+    CONCURRENCY(SettingType.POSITIVE_COUNT, required(SectionKind.ENDPOINT)),
+    FENCING(SettingType.FENCING, optional(SectionKind.ENDPOINT)),
+    PARENT(SettingType.NAME, optional(SectionKind.ORGANISATION)),
+    CREDENTIAL_SHA256(SettingType.HASHES, optional(SectionKind.ORGANISATION)),
+    OPERATOR_CREDENTIAL_SHA256(SettingType.HASHES, optional(SectionKind.DEFAULTS)),
+    TIERS(SettingType.NAMES, inherited()),
+    FIRST_TOKEN(SettingType.DURATION, inherited()),
+    BETWEEN_TOKENS(SettingType.DURATION, inherited()),
+    DEADLINE(SettingType.DURATION, inherited()),
+    CROSS_REGION(SettingType.FLAG, inherited()),
+    REQUESTS_PER_SECOND(SettingType.POSITIVE_NUMBER, inherited()),
+    TOKENS_PER_SECOND(SettingType.POSITIVE_NUMBER, inherited()),
+    REQUESTS_AT_ONCE(SettingType.POSITIVE_COUNT, inherited());
+
+    private static final ImmutableSet<SectionKind> INHERITING = Sets.immutableEnumSet(
+            SectionKind.DEFAULTS,
+            SectionKind.TIER,
+            SectionKind.SERVICE,
+            SectionKind.SERVICE_TIER,
+            SectionKind.ORGANISATION,
+            SectionKind.ORGANISATION_SERVICE,
+            SectionKind.ORGANISATION_SERVICE_TIER);
+
+    private final SettingType type;
+    private final Placement placement;
+
+    SettingKey(SettingType type, Placement placement) {
+        this.type = type;
+        this.placement = placement;
+    }
+
+    public SettingType type() {
+        return type;
+    }
+
+    /** The key as it is written, such as {@code first-token}. */
+    public String text() {
+        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    /** Whether a section of this kind may hold the key. */
+    public boolean allowedIn(SectionKind kind) {
+        return placement.inherited ? INHERITING.contains(kind) : placement.sections.contains(kind);
+    }
+
+    /** Whether a section of this kind must hold the key. */
+    public boolean requiredIn(SectionKind kind) {
+        return placement.required && placement.sections.contains(kind);
+    }
+
+    /** Whether organisations, services and tiers take the value from their parent unless they override it. */
+    public boolean inheritable() {
+        return placement.inherited;
+    }
+
+    /** Finds the key with this text. */
+    public static Optional<SettingKey> parse(String text) {
+        return Arrays.stream(values()).filter(key -> key.text().equals(text)).findFirst();
+    }
+
+    private static Placement required(SectionKind... sections) {
+        return new Placement(ImmutableSet.copyOf(sections), true, false);
+    }
+
+    private static Placement optional(SectionKind... sections) {
+        return new Placement(ImmutableSet.copyOf(sections), false, false);
+    }
+
+    private static Placement inherited() {
+        return new Placement(ImmutableSet.of(), false, true);
+    }
+
+    private record Placement(ImmutableSet<SectionKind> sections, boolean required, boolean inherited) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/cowslippick/core/settings/SettingsTree.java
@@ -0,0 +1,322 @@
+package org.cowslippick.core.settings;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.hash.Hashing;
+import com.google.common.net.HostAndPort;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.cowslippick.core.world.Contract;
+import org.cowslippick.core.world.DispatchRule;
+import org.cowslippick.core.world.Endpoint;
+import org.cowslippick.core.world.EndpointKind;
+import org.cowslippick.core.world.EndpointName;
+import org.cowslippick.core.world.FailureDomain;
+import org.cowslippick.core.world.FencingSupport;
+import org.cowslippick.core.world.Link;
+import org.cowslippick.core.world.OrganisationName;
+import org.cowslippick.core.world.PoolName;
+import org.cowslippick.core.world.Region;
+import org.cowslippick.core.world.Service;
+import org.cowslippick.core.world.ServiceName;
+import org.cowslippick.core.world.Tier;
+import org.cowslippick.core.world.TierName;
+
+/**
+ * A checked settings tree. An inherited value is looked up from the nearest section outwards: for the organisation
+ * and each of its parents in turn the sections of service and tier, of service, and of the organisation itself; then
+ * the sections of service and tier, service, tier, and the defaults.
+ */
+public final class SettingsTree {
+
+    public static final SettingsTree EMPTY = new SettingsTree(SettingsDocument.EMPTY);
+
+    private static final ImmutableMap<SettingKey, String> BUILT_IN = ImmutableMap.of(
+            SettingKey.FIRST_TOKEN, "530ms",
+            SettingKey.BETWEEN_TOKENS, "58ms",
+            SettingKey.DEADLINE, "60s",
+            SettingKey.CROSS_REGION, "no");
+
+    private final SettingsDocument document;
+    private final ImmutableMap<String, OrganisationName> organisationsByCredential;
+    private final ImmutableList<Tier> tiers;
+    private final ImmutableList<Service> services;
+    private final ImmutableList<Endpoint> endpoints;
+    private final ImmutableMap<TierName, Tier> tiersByName;
+    private final ImmutableMap<ServiceName, Service> servicesByName;
+
+    private SettingsTree(SettingsDocument document) {
+        this.document = document;
+        this.organisationsByCredential = credentials(document);
+        this.tiers = sections(SectionKind.TIER).map(SettingsTree::tier).collect(ImmutableList.toImmutableList());
+        this.services =
+                sections(SectionKind.SERVICE).map(SettingsTree::service).collect(ImmutableList.toImmutableList());
+        this.endpoints = sections(SectionKind.ENDPOINT).map(this::endpoint).collect(ImmutableList.toImmutableList());
+        this.tiersByName = tiers.stream().collect(ImmutableMap.toImmutableMap(Tier::name, tier -> tier));
+        this.servicesByName = services.stream().collect(ImmutableMap.toImmutableMap(Service::name, found -> found));
+    }
+
+    /** Checks the document as a whole; every fault is listed, and a document with any fault gives no tree. */
+    public static Either<ImmutableList<SettingsFault>, SettingsTree> of(SettingsDocument document) {
+        ImmutableList<SettingsFault> faults = SettingsCheck.faults(document);
+        return faults.isEmpty() ? Either.right(new SettingsTree(document)) : Either.left(faults);
+    }
+
+    /** Reads and checks INI text. */
+    public static Either<ImmutableList<SettingsFault>, SettingsTree> parse(String text) {
+        return SettingsDocument.parse(text).flatMap(SettingsTree::of);
+    }
+
+    /** The hash under which a credential is kept in the settings. */
+    public static String hashOf(String credential) {
+        return Hashing.sha256().hashString(credential, StandardCharsets.UTF_8).toString();
+    }
+
+    public SettingsDocument document() {
+        return document;
+    }
+
+    public ImmutableList<Tier> tiers() {
+        return tiers;
+    }
+
+    public ImmutableList<Service> services() {
+        return services;
+    }
+
+    public ImmutableList<Endpoint> endpoints() {
+        return endpoints;
+    }
+
+    public Optional<Tier> tier(TierName name) {
+        return Optional.ofNullable(tiersByName.get(name));
+    }
+
+    public Optional<Service> service(ServiceName name) {
+        return Optional.ofNullable(servicesByName.get(name));
+    }
+
+    /** Finds a failure domain and its region. */
+    public Optional<FailureDomain> failureDomain(String name) {
+        return document.section(SectionName.failureDomain(name))
+                .map(section -> new FailureDomain(name, new Region(own(section, SettingKey.REGION))));
+    }
+
+    /** The links between regions. */
+    public ImmutableList<Link> links() {
+        return sections(SectionKind.LINK).map(SettingsTree::link).collect(ImmutableList.toImmutableList());
+    }
+
+    /** Finds the organisation that a caller's credential belongs to. */
+    public Optional<OrganisationName> organisation(String credential) {
+        return Optional.ofNullable(organisationsByCredential.get(hashOf(credential)));
+    }
+
+    /** Whether the credential is one of an operator. */
+    public boolean operator(String credential) {
+        return document.section(SectionName.DEFAULTS)
+                .flatMap(section -> section.value(SettingKey.OPERATOR_CREDENTIAL_SHA256))
+                .map(SettingType::names)
+                .filter(hashes -> hashes.contains(hashOf(credential)))
+                .isPresent();
+    }
+
+    /** The tiers that an organisation may use for a service, best first; empty if it is entitled to none. */
+    public ImmutableList<Tier> entitledTiers(OrganisationName organisation, ServiceName service) {
+        return Stream.concat(
+                        organisationSections(organisation, service, Optional.empty()),
+                        Stream.of(SectionName.service(service), SectionName.DEFAULTS))
+                .flatMap(name -> ownSetting(name, SettingKey.TIERS).stream())
+                .findFirst()
+                .map(setting -> SettingType.names(setting.value()).stream()
+                        .flatMap(name -> tier(new TierName(name)).stream())
+                        .sorted(Comparator.comparingInt(Tier::rank))
+                        .collect(ImmutableList.toImmutableList()))
+                .orElseGet(ImmutableList::of);
+    }
+
+    /** What the organisation was promised for the service at the tier. */
+    public Contract contract(OrganisationName organisation, Service service, Tier tier) {
+        return new Contract(
+                organisation,
+                service.name(),
+                tier,
+                duration(organisation, service, tier, SettingKey.FIRST_TOKEN),
+                duration(organisation, service, tier, SettingKey.BETWEEN_TOKENS),
+                duration(organisation, service, tier, SettingKey.DEADLINE),
+                resolve(organisation, service.name(), tier.name(), SettingKey.CROSS_REGION)
+                        .map(setting -> setting.value().equals("yes"))
+                        .orElse(false));
+    }
+
+    /** Looks a value up from the nearest section outwards. */
+    public Optional<ResolvedSetting> resolve(
+            OrganisationName organisation, ServiceName service, TierName tier, SettingKey key) {
+        return Stream.concat(
+                        organisationSections(organisation, service, Optional.of(tier)),
+                        Stream.of(
+                                SectionName.serviceTier(service, tier),
+                                SectionName.service(service),
+                                SectionName.tier(tier),
+                                SectionName.DEFAULTS))
+                .flatMap(name -> ownSetting(name, key).stream())
+                .findFirst()
+                .or(() -> builtIn(key));
+    }
+
+    /**
+     * The limits that bound a request: of the organisation as a whole, of its service, and of the tier of that service.
+     * Each scope takes a limit from its own section, or from the section of the same shape of the nearest parent
+     * organisation.
+     */
+    public ImmutableList<Limits> limits(OrganisationName organisation, ServiceName service, TierName tier) {
+        return Stream.of(
+                        limits(
+                                SectionName.organisation(organisation),
+                                ancestors(organisation).map(SectionName::organisation),
+                                SectionName.DEFAULTS),
+                        limits(
+                                SectionName.organisationService(organisation, service),
+                                ancestors(organisation)
+                                        .map(ancestor -> SectionName.organisationService(ancestor, service)),
+                                SectionName.service(service)),
+                        limits(
+                                SectionName.organisationServiceTier(organisation, service, tier),
+                                ancestors(organisation)
+                                        .map(ancestor -> SectionName.organisationServiceTier(ancestor, service, tier)),
+                                SectionName.serviceTier(service, tier)))
+                .filter(limits -> !limits.unlimited())
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private Limits limits(SectionName scope, Stream<SectionName> inherited, SectionName last) {
+        ImmutableList<SectionName> lookUp =
+                Stream.concat(inherited, Stream.of(last)).collect(ImmutableList.toImmutableList());
+        return new Limits(
+                scope,
+                Limits.number(firstOf(lookUp, SettingKey.REQUESTS_PER_SECOND)),
+                Limits.number(firstOf(lookUp, SettingKey.TOKENS_PER_SECOND)),
+                Limits.count(firstOf(lookUp, SettingKey.REQUESTS_AT_ONCE)));
+    }
+
+    private Optional<ResolvedSetting> firstOf(ImmutableList<SectionName> lookUp, SettingKey key) {
+        return lookUp.stream().flatMap(name -> ownSetting(name, key).stream()).findFirst();
+    }
+
+    /** The organisation, its parent, the parent's parent, and so on. */
+    private Stream<OrganisationName> ancestors(OrganisationName organisation) {
+        return Stream.iterate(Optional.of(organisation), Optional::isPresent, current -> current.flatMap(
+                                name -> document.section(SectionName.organisation(name)))
+                        .flatMap(section -> section.value(SettingKey.PARENT))
+                        .map(OrganisationName::new))
+                .flatMap(Optional::stream);
+    }
+
+    private Stream<SectionName> organisationSections(
+            OrganisationName organisation, ServiceName service, Optional<TierName> tier) {
+        return ancestors(organisation)
+                .flatMap(ancestor -> Stream.concat(
+                        tier.stream().map(name -> SectionName.organisationServiceTier(ancestor, service, name)),
+                        Stream.of(
+                                SectionName.organisationService(ancestor, service),
+                                SectionName.organisation(ancestor))));
+    }
+
+    private Optional<ResolvedSetting> ownSetting(SectionName name, SettingKey key) {
+        return document.section(name)
+                .flatMap(section -> section.value(key))
+                .map(value -> new ResolvedSetting(key, value, name, false));
+    }
+
+    private static Optional<ResolvedSetting> builtIn(SettingKey key) {
+        return Optional.ofNullable(BUILT_IN.get(key))
+                .map(value -> new ResolvedSetting(key, value, SectionName.DEFAULTS, true));
+    }
+
+    private Duration duration(OrganisationName organisation, Service service, Tier tier, SettingKey key) {
+        return resolve(organisation, service.name(), tier.name(), key)
+                .flatMap(setting -> SettingType.duration(setting.value()))
+                .orElseThrow(() -> new IllegalStateException("setting " + key.text() + " has no value"));
+    }
+
+    private Stream<SettingsSection> sections(SectionKind kind) {
+        return document.sections().values().stream()
+                .filter(section -> section.name().kind() == kind);
+    }
+
+    private static Tier tier(SettingsSection section) {
+        return new Tier(
+                new TierName(section.name().names().get(0)),
+                Integer.parseInt(own(section, SettingKey.RANK)),
+                Double.parseDouble(own(section, SettingKey.WEIGHT)));
+    }
+
+    private static Service service(SettingsSection section) {
+        return new Service(
+                new ServiceName(section.name().names().get(0)),
+                new PoolName(own(section, SettingKey.POOL)),
+                endpointKind(own(section, SettingKey.KIND)),
+                section.value(SettingKey.MODEL).orElse(""),
+                dispatchRule(own(section, SettingKey.DISPATCH)));
+    }
+
+    private Endpoint endpoint(SettingsSection section) {
+        return new Endpoint(
+                new EndpointName(section.name().names().get(0)),
+                new PoolName(own(section, SettingKey.POOL)),
+                endpointKind(own(section, SettingKey.KIND)),
+                failureDomain(own(section, SettingKey.FAILURE_DOMAIN)).orElseThrow(),
+                HostAndPort.fromString(own(section, SettingKey.ADDRESS)),
+                Integer.parseInt(own(section, SettingKey.CONCURRENCY)),
+                section.value(SettingKey.FENCING)
+                        .filter(value -> value.equals("checked"))
+                        .map(_checked -> FencingSupport.CHECKED)
+                        .orElse(FencingSupport.IGNORED));
+    }
+
+    private static Link link(SettingsSection section) {
+        return new Link(
+                new Region(section.name().names().get(0)),
+                new Region(section.name().names().get(1)),
+                Long.parseLong(own(section, SettingKey.BYTES_PER_SECOND)),
+                section.value(SettingKey.PRICE_PER_GIGABYTE)
+                        .map(Double::parseDouble)
+                        .orElse(0.0));
+    }
+
+    private static EndpointKind endpointKind(String value) {
+        return value.equals("model") ? EndpointKind.MODEL : EndpointKind.APPLICATION;
+    }
+
+    private static DispatchRule dispatchRule(String value) {
+        return switch (value) {
+            case "idempotent" -> DispatchRule.IDEMPOTENT;
+            case "run-once" -> DispatchRule.RUN_ONCE;
+            default -> DispatchRule.DISPATCH_ONCE;
+        };
+    }
+
+    private static String own(SettingsSection section, SettingKey key) {
+        return section.value(key)
+                .orElseThrow(() ->
+                        new IllegalStateException("section " + section.name() + " lacks its required " + key.text()));
+    }
+
+    private static ImmutableMap<String, OrganisationName> credentials(SettingsDocument document) {
+        Map<String, OrganisationName> byCredential = new HashMap<>();
+        document.sections().values().stream()
+                .filter(section -> section.name().kind() == SectionKind.ORGANISATION)
+                .forEach(section -> section.value(SettingKey.CREDENTIAL_SHA256).stream()
+                        .flatMap(value -> SettingType.names(value).stream())
+                        .forEach(hash -> byCredential.put(
+                                hash,
+                                new OrganisationName(section.name().names().get(0)))));
+        return ImmutableMap.copyOf(byCredential);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/cowslippick/core/time/package-info.java
@@ -0,0 +1,2 @@
+/** The timer service that every part subscribes to. */
+package org.cowslippick.core.time;
--- /dev/null
+++ b/core/src/main/java/org/cowslippick/core/world/FailureDomain.java
@@ -0,0 +1,9 @@
+package org.cowslippick.core.world;
+
+/** A part of a region whose instances can be lost together. */
+public record FailureDomain(String name, Region region) {
+
+    public FailureDomain {
+        Names.check("failure domain", name);
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/pool/InFlight.java
@@ -0,0 +1,7 @@
+package org.cowslippick.scheduler.pool;
+
+import org.cowslippick.core.request.RequestDescriptor;
+import org.cowslippick.core.world.EndpointName;
+
+/** A dispatched request as its entry describes it to a new owner of the pool. */
+public record InFlight(RequestDescriptor request, EndpointName endpoint, int attempt, long dispatchedAtNanos) {}
--- /dev/null
+++ b/standin/src/main/java/org/cowslippick/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Placeholder. */
+package org.cowslippick.standin;
