--- a/core/src/main/java/org/cowslippick/core/settings/SettingKey.java
+++ b/core/src/main/java/org/cowslippick/core/settings/SettingKey.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
+import com.google.errorprone.annotations.Immutable;
 import java.util.Arrays;
 import java.util.Locale;
 import java.util.Optional;
@@ -91,5 +92,6 @@
         return new Placement(ImmutableSet.of(), false, true);
     }
 
+    @Immutable
     private record Placement(ImmutableSet<SectionKind> sections, boolean required, boolean inherited) {}
 }
--- a/core/src/main/java/org/cowslippick/core/settings/SettingsTree.java
+++ b/core/src/main/java/org/cowslippick/core/settings/SettingsTree.java
@@ -215,7 +215,7 @@
                                 name -> document.section(SectionName.organisation(name)))
                         .flatMap(section -> section.value(SettingKey.PARENT))
                         .map(OrganisationName::new))
-                .flatMap(Optional::stream);
+                .mapMulti(Optional::ifPresent);
     }
 
     private Stream<SectionName> organisationSections(
