--- /dev/null
+++ b/fleet/src/main/java/org/cowslippick/fleet/grant/DecisionListener.java
@@ -0,0 +1,15 @@
+package org.cowslippick.fleet.grant;
+
+import org.cowslippick.core.world.PoolKey;
+import org.cowslippick.scheduler.pool.Grant;
+import org.cowslippick.scheduler.pool.Refusal;
+
+/** Hears what the pools of a {@link PoolHost} decided; calls for one pool come one at a time. */
+public interface DecisionListener {
+
+    /** A pool granted an attempt. */
+    void granted(PoolKey pool, Grant grant);
+
+    /** A pool refused a request or a further attempt of it. */
+    void refused(PoolKey pool, Refusal refusal);
+}
--- /dev/null
+++ b/fleet/src/main/java/org/cowslippick/fleet/grant/PoolFactory.java
@@ -0,0 +1,12 @@
+package org.cowslippick.fleet.grant;
+
+import org.cowslippick.core.world.PoolKey;
+import org.cowslippick.scheduler.pool.PoolScheduler;
+
+/** Makes the scheduler of a pool when this entry comes to own it. */
+@FunctionalInterface
+public interface PoolFactory {
+
+    /** Returns a new scheduler without requests and endpoints. */
+    PoolScheduler create(PoolKey pool);
+}
