--- /dev/null
+++ b/fleet/src/main/java/org/cowslippick/fleet/wire/FrameCodec.java
@@ -0,0 +1,59 @@
+package org.cowslippick.fleet.wire;
+
+import java.util.Optional;
+
+/** Encodes envelopes to frame bodies and back: type number, logical time, then the message's fields. */
+public final class FrameCodec {
+
+    /** The largest frame body that is sent or accepted. */
+    public static final int MAXIMUM_FRAME_BYTES = 1 << 20;
+
+    private final MessageTypes types;
+
+    public FrameCodec(MessageTypes types) {
+        this.types = types;
+    }
+
+    /** Returns the frame body of a message. */
+    public byte[] encode(Envelope envelope) {
+        MessageType<?> type = types.typeOf(envelope.message());
+        try (MessageWriter writer = new MessageWriter()) {
+            writer.number(type.number());
+            writer.number(envelope.logicalTime());
+            type.encode(envelope.message(), writer);
+            return checked(writer.toBytes(), type);
+        }
+    }
+
+    /**
+     * Returns the message of a frame body, or nothing if its type is unknown and may be skipped.
+     *
+     * @throws MalformedFrameException if the body is no message of this protocol
+     */
+    public Optional<Envelope> decode(byte[] body) {
+        try (MessageReader reader = new MessageReader(body)) {
+            int number = reader.integer();
+            long logicalTime = reader.number();
+            Optional<MessageType<?>> type = types.find(number);
+            if (type.isEmpty() && MessageType.skippable(number)) {
+                return Optional.empty();
+            }
+            PeerMessage message = type.orElseThrow(
+                            () -> new MalformedFrameException("message type " + number + " is unknown"))
+                    .decoder()
+                    .decode(reader);
+            reader.end();
+            return Optional.of(new Envelope(logicalTime, message));
+        } catch (IllegalArgumentException invalid) {
+            throw new MalformedFrameException("a field has an invalid value", invalid);
+        }
+    }
+
+    private static byte[] checked(byte[] body, MessageType<?> type) {
+        if (body.length > MAXIMUM_FRAME_BYTES) {
+            throw new IllegalArgumentException("a message of type " + type.number() + " has " + body.length
+                    + " bytes, over the limit of " + MAXIMUM_FRAME_BYTES);
+        }
+        return body;
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/cowslippick/fleet/wire/package-info.java
@@ -0,0 +1,2 @@
+/** Framing and encoding of the messages between entries: length-prefixed MessagePack with a versioned hello. */
+package org.cowslippick.fleet.wire;
