Settings of an entry process, checked whole; INI reader lists every bad line

IniReader.read now gives a list of faults.

Conclusion: a file with any fault is refused with section, key and line of each; secrets stay out of messages.

--- a/core/src/main/java/org/cowslippick/core/settings/SettingType.java
+++ b/core/src/main/java/org/cowslippick/core/settings/SettingType.java
@@ -81,8 +81,35 @@
         boolean accepts(String value) {
             return value.equals("checked") || value.equals("ignored");
         }
+    },
+    LOG_LEVEL("error, warning, info or debug") {
+        @Override
+        boolean accepts(String value) {
+            return LogLevel.parse(value).isPresent();
+        }
+    },
+    FILE("the path of a file") {
+        @Override
+        boolean accepts(String value) {
+            return !value.isEmpty();
+        }
+    },
+    SECRETS("secrets of at least 16 characters, separated by commas") {
+        @Override
+        boolean accepts(String value) {
+            ImmutableList<String> secrets = names(value);
+            return !secrets.isEmpty()
+                    && secrets.stream().allMatch(secret -> secret.length() >= MINIMUM_SECRET_LENGTH_CHARACTERS);
+        }
+
+        @Override
+        String shown(String _value) {
+            return "the value";
+        }
     };
 
+    private static final int MINIMUM_SECRET_LENGTH_CHARACTERS = 16;
+
     private static final Pattern WHOLE = Pattern.compile("[0-9]{1,10}");
     private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,15}(\\.[0-9]{1,9})?");
     private static final Pattern NAME_PATTERN = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,99}");
@@ -98,6 +125,16 @@
 
     abstract boolean accepts(String value);
 
+    /** How a value stands in error messages; secrets are left out. */
+    String shown(String value) {
+        return "\"" + value + "\"";
+    }
+
+    /** Says why the value is refused, or empty if it is accepted. */
+    public final Optional<String> problem(String value) {
+        return accepts(value) ? Optional.empty() : Optional.of(shown(value) + " is not " + expectation);
+    }
+
     /** What a value of this type looks like, for error messages. */
     public String expectation() {
         return expectation;
--- a/core/src/main/java/org/cowslippick/core/settings/SettingsDocument.java
+++ b/core/src/main/java/org/cowslippick/core/settings/SettingsDocument.java
@@ -33,13 +33,13 @@
 
     /** Reads INI text; every fault is listed, and a text with any fault gives no document. */
     public static Either<ImmutableList<SettingsFault>, SettingsDocument> parse(String text) {
-        Either<SettingsFault, ImmutableList<IniSection>> read = IniReader.read(text);
-        if (read.isLeft()) {
-            return Either.left(ImmutableList.of(read.getLeft()));
-        }
+        return IniReader.read(text).flatMap(SettingsDocument::parse);
+    }
+
+    private static Either<ImmutableList<SettingsFault>, SettingsDocument> parse(ImmutableList<IniSection> read) {
         List<SettingsFault> faults = new ArrayList<>();
         Map<SectionName, SettingsSection> parsed = new HashMap<>();
-        read.get().forEach(section -> parseSection(section, parsed, faults));
+        read.forEach(section -> parseSection(section, parsed, faults));
         return faults.isEmpty()
                 ? Either.right(new SettingsDocument(ImmutableSortedMap.copyOf(parsed)))
                 : Either.left(ImmutableList.copyOf(faults));
@@ -177,10 +177,6 @@
         if (earlier.containsKey(key.get())) {
             return Optional.of("the key stands twice");
         }
-        if (!key.get().type().accepts(entry.value())) {
-            return Optional.of(
-                    "\"" + entry.value() + "\" is not " + key.get().type().expectation());
-        }
-        return Optional.empty();
+        return key.get().type().problem(entry.value());
     }
 }
