Tiered pool: one queue by tier, organisation and deadline

Cause: the entry needs a policy that decides before engines, which know no priorities, admit a request.

Windows are still the configured concurrency.

Conclusion: a property test over random histories finds no shed inversion, no second dispatch that a rule forbids and nothing left over.

--- /dev/null
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/endpoint/SpeedModel.java
@@ -0,0 +1,75 @@
+package org.cowslippick.scheduler.endpoint;
+
+/**
+ * Predicts the time to first token as a line over the prompt tokens that are computed before it, and the time between
+ * tokens as a mean. The line is fitted by least squares in which old observations count less and less; without
+ * observations all predictions are 0.
+ */
+public final class SpeedModel {
+
+    private static final double DECAY = 0.97;
+    private static final double BETWEEN_TOKENS_GAIN = 0.1;
+    private static final double MINIMUM_WEIGHT = 0.5;
+
+    private double weight;
+    private double sumTokens;
+    private double sumNanos;
+    private double sumTokensTokens;
+    private double sumTokensNanos;
+    private double baseNanos;
+    private double nanosPerToken;
+    private double betweenTokensNanos;
+
+    /** Learns from one first token. */
+    public void observeFirstToken(long promptTokens, long firstTokenNanos) {
+        double tokens = (double) promptTokens;
+        double nanos = (double) firstTokenNanos;
+        weight = weight * DECAY + 1;
+        sumTokens = sumTokens * DECAY + tokens;
+        sumNanos = sumNanos * DECAY + nanos;
+        sumTokensTokens = sumTokensTokens * DECAY + tokens * tokens;
+        sumTokensNanos = sumTokensNanos * DECAY + tokens * nanos;
+        fit();
+    }
+
+    /** Learns from the mean time between the tokens of one answer. */
+    public void observeBetweenTokens(long meanNanos) {
+        double nanos = (double) meanNanos;
+        betweenTokensNanos = betweenTokensNanos == 0
+                ? nanos
+                : betweenTokensNanos + BETWEEN_TOKENS_GAIN * (nanos - betweenTokensNanos);
+    }
+
+    public boolean knowsFirstToken() {
+        return weight >= MINIMUM_WEIGHT;
+    }
+
+    public boolean knowsBetweenTokens() {
+        return betweenTokensNanos > 0;
+    }
+
+    public double firstTokenNanos(double tokens) {
+        return baseNanos + nanosPerToken * tokens;
+    }
+
+    public double nanosPerPromptToken() {
+        return nanosPerToken;
+    }
+
+    public double betweenTokensNanos() {
+        return betweenTokensNanos;
+    }
+
+    private void fit() {
+        double meanTokens = sumTokens / weight;
+        double meanNanos = sumNanos / weight;
+        double variance = sumTokensTokens / weight - meanTokens * meanTokens;
+        double covariance = sumTokensNanos / weight - meanTokens * meanNanos;
+        nanosPerToken = variance > 1 ? Math.max(0, covariance / variance) : 0;
+        baseNanos = meanNanos - nanosPerToken * meanTokens;
+        if (baseNanos < 0) {
+            baseNanos = 0;
+            nanosPerToken = sumTokensNanos / sumTokensTokens;
+        }
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/pool/RetryRules.java
@@ -0,0 +1,45 @@
+package org.cowslippick.scheduler.pool;
+
+import org.cowslippick.core.error.ErrorKind;
+import org.cowslippick.core.error.Failure;
+import org.cowslippick.core.world.DispatchRule;
+import org.cowslippick.scheduler.retry.RatioBudget;
+
+/** Whether a request whose attempt failed gets another one, and what its caller is told if not. */
+final class RetryRules {
+
+    private static final int MAXIMUM_ATTEMPTS = 4;
+
+    private final RatioBudget budget;
+
+    RetryRules(RatioBudget budget) {
+        this.budget = budget;
+    }
+
+    /** Takes one retry out of the budget if the dispatch rule and the budget allow it. */
+    boolean tryRetry(TrackedRequest request, DispatchReport report) {
+        return report.retryWanted()
+                && allowed(request.descriptor().dispatchRule(), report.phase())
+                && request.attemptsStarted() < MAXIMUM_ATTEMPTS
+                && budget.tryWithdraw();
+    }
+
+    static ErrorKind kind(DispatchPhase phase) {
+        return switch (phase) {
+            case REFUSED -> ErrorKind.ENDPOINT_REFUSED;
+            case SILENT -> ErrorKind.ENDPOINT_SILENT;
+            default -> ErrorKind.ENDPOINT_FAILED;
+        };
+    }
+
+    static Failure failure(TrackedRequest request, DispatchReport report) {
+        return Failure.of(
+                request.honest(kind(report.phase())),
+                "attempt " + request.attemptsStarted() + " on endpoint " + report.endpoint() + " ended as "
+                        + report.phase() + " and gets no further attempt");
+    }
+
+    private static boolean allowed(DispatchRule rule, DispatchPhase phase) {
+        return phase == DispatchPhase.REFUSED ? rule.retryAfterRefusal() : rule.retryAfterStart();
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/pool/TieredPool.java
@@ -0,0 +1,265 @@
+package org.cowslippick.scheduler.pool;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.cowslippick.core.error.Failure;
+import org.cowslippick.core.request.RequestDescriptor;
+import org.cowslippick.core.request.RequestId;
+import org.cowslippick.core.world.Endpoint;
+import org.cowslippick.scheduler.endpoint.EndpointTable;
+import org.cowslippick.scheduler.endpoint.EndpointTracker;
+import org.cowslippick.scheduler.queue.QueuedRequest;
+import org.cowslippick.scheduler.queue.TieredQueue;
+import org.cowslippick.scheduler.retry.RatioBudget;
+import org.cowslippick.scheduler.retry.RetryDelay;
+
+/**
+ * The policy of cowslippick: one queue by tier, organisation and deadline, an endpoint being chosen only when it has a
+ * free slot. docs/design/TIERS-AND-SHEDDING.md gives the reasons.
+ */
+public final class TieredPool implements PoolScheduler {
+
+    private static final double BUDGET_BALANCE = 10;
+    private static final long NO_ENDPOINT_DELAY_NANOS = 10_000_000L;
+
+    private final PoolSettings settings;
+    private final TieredQueue queue;
+    private final EndpointTable endpoints = new EndpointTable();
+    private final Map<RequestId, TrackedRequest> requests = new HashMap<>();
+    private final DelayedRequests delayed = new DelayedRequests();
+    private final Admission admission;
+    private final RatioBudget retryBudget;
+    private final RetryRules retryRules;
+    private final RetryDelay retryDelay;
+
+    /** Creates a pool without endpoints whose random draws follow from the seed. */
+    public TieredPool(long seed, PoolSettings settings) {
+        this.settings = settings;
+        this.queue = new TieredQueue(settings.starvationWaitNanos(), settings.starvationTurn());
+        this.admission = new Admission(queue, endpoints);
+        this.retryBudget = new RatioBudget(settings.retryShare(), BUDGET_BALANCE);
+        this.retryRules = new RetryRules(retryBudget);
+        this.retryDelay = new RetryDelay(seed);
+    }
+
+    @Override
+    public PoolDecisions offer(RequestDescriptor request, long nowNanos) {
+        Decisions decisions = new Decisions();
+        if (requests.containsKey(request.id())) {
+            return step(decisions, nowNanos);
+        }
+        Optional<Failure> refusal = admission.refusal(request, nowNanos);
+        if (refusal.isPresent()) {
+            decisions.refuse(request, refusal.get());
+            return step(decisions, nowNanos);
+        }
+        requests.put(request.id(), new TrackedRequest(request));
+        queue.add(admission.queued(request), nowNanos);
+        dispatch(decisions, nowNanos);
+        shedOverflow(decisions);
+        return decisions.toPoolDecisions();
+    }
+
+    @Override
+    public PoolDecisions withdraw(RequestId id, long nowNanos) {
+        queue.remove(id);
+        delayed.remove(id);
+        Optional.ofNullable(requests.remove(id))
+                .ifPresent(request -> ImmutableList.copyOf(request.attempts()).forEach(this::release));
+        return step(new Decisions(), nowNanos);
+    }
+
+    @Override
+    public PoolDecisions report(DispatchReport report, long nowNanos) {
+        Decisions decisions = new Decisions();
+        Optional.ofNullable(requests.get(report.request()))
+                .flatMap(request -> request.attemptOn(report.endpoint()))
+                .ifPresent(attempt -> apply(report, attempt, decisions, nowNanos));
+        return step(decisions, nowNanos);
+    }
+
+    @Override
+    public PoolDecisions adopt(InFlight inFlight, long nowNanos) {
+        Optional<EndpointTracker> tracker = endpoints.find(inFlight.endpoint());
+        tracker.ifPresent(found -> {
+            TrackedRequest request =
+                    requests.computeIfAbsent(inFlight.request().id(), _id -> new TrackedRequest(inFlight.request()));
+            queue.remove(inFlight.request().id());
+            if (request.attemptOn(inFlight.endpoint()).isEmpty()) {
+                start(request, found, inFlight.attempt(), inFlight.dispatchedAtNanos());
+            }
+        });
+        return step(new Decisions(), nowNanos);
+    }
+
+    @Override
+    public PoolDecisions observe(LoadReport _report, long nowNanos) {
+        return step(new Decisions(), nowNanos);
+    }
+
+    @Override
+    public PoolDecisions observe(CacheEvents _events, long nowNanos) {
+        return step(new Decisions(), nowNanos);
+    }
+
+    @Override
+    public PoolDecisions replaceEndpoints(ImmutableList<Endpoint> replacement, long nowNanos) {
+        endpoints.replace(replacement);
+        return step(new Decisions(), nowNanos);
+    }
+
+    @Override
+    public PoolDecisions advance(long nowNanos) {
+        return step(new Decisions(), nowNanos);
+    }
+
+    @Override
+    public PoolSnapshot snapshot(long _nowNanos) {
+        return new PoolSnapshot(
+                queue.size() + delayed.size(),
+                endpoints.members().stream().map(TieredPool::snapshot).collect(ImmutableList.toImmutableList()));
+    }
+
+    private static EndpointSnapshot snapshot(EndpointTracker tracker) {
+        return new EndpointSnapshot(
+                tracker.name(),
+                tracker.inFlight(),
+                tracker.window(),
+                Duration.ofNanos((long) tracker.firstTokenNanos(0)),
+                Duration.ofNanos((long) tracker.betweenTokensNanos()),
+                EndpointState.HEALTHY);
+    }
+
+    private PoolDecisions step(Decisions decisions, long nowNanos) {
+        delayed.removeReady(nowNanos).forEach(request -> queue.add(admission.queued(request.descriptor()), nowNanos));
+        queue.removeExpired(nowNanos)
+                .forEach(expired -> refuse(expired, admission.expired(expired.request(), nowNanos), decisions));
+        dispatch(decisions, nowNanos);
+        shedOverflow(decisions);
+        return decisions.toPoolDecisions();
+    }
+
+    private void dispatch(Decisions decisions, long nowNanos) {
+        while (endpoints.hasAvailable()) {
+            Optional<QueuedRequest> next = queue.next(nowNanos);
+            if (next.isEmpty()) {
+                return;
+            }
+            place(next.get(), decisions, nowNanos);
+        }
+    }
+
+    private void place(QueuedRequest queued, Decisions decisions, long nowNanos) {
+        TrackedRequest request = requests.get(queued.request().id());
+        Optional<EndpointTracker> chosen = choose(request);
+        if (chosen.isEmpty()) {
+            queue.remove(queued.request().id());
+            delayed.add(request, nowNanos + NO_ENDPOINT_DELAY_NANOS);
+            return;
+        }
+        queue.take(queued, nowNanos);
+        Grant.Reason reason = request.attemptsStarted() == 0 ? Grant.Reason.FIRST : Grant.Reason.RETRY;
+        if (reason == Grant.Reason.FIRST) {
+            retryBudget.deposit();
+        }
+        int number = request.attemptsStarted() + 1;
+        start(request, chosen.get(), number, nowNanos);
+        decisions.grant(new Grant(
+                queued.request().id(), queued.request().entry(), chosen.get().name(), number, reason));
+    }
+
+    private Optional<EndpointTracker> choose(TrackedRequest request) {
+        RequestDescriptor descriptor = request.descriptor();
+        boolean onlyOne = endpoints.members().size() == 1;
+        return endpoints.choose(
+                descriptor.promptTokens(),
+                (int) admission.expectedAnswerTokens(descriptor),
+                tracker -> onlyOne || !request.tried(tracker.name()),
+                Stream.empty());
+    }
+
+    private void start(TrackedRequest request, EndpointTracker tracker, int number, long dispatchedAtNanos) {
+        Attempt attempt = new Attempt(
+                request, tracker, dispatchedAtNanos, request.descriptor().promptTokens());
+        endpoints.start(tracker, attempt.promptTokens());
+        request.start(attempt, number);
+    }
+
+    private void apply(DispatchReport report, Attempt attempt, Decisions decisions, long nowNanos) {
+        learn(report, attempt);
+        if (!report.phase().ended()) {
+            return;
+        }
+        TrackedRequest request = attempt.request();
+        release(attempt);
+        if (report.phase().fault()) {
+            fail(request, report, decisions, nowNanos);
+        } else if (request.attempts().isEmpty()) {
+            requests.remove(request.descriptor().id());
+        }
+    }
+
+    private void learn(DispatchReport report, Attempt attempt) {
+        if (report.timeToFirstTokenNanos() > 0 && !attempt.firstTokenSeen()) {
+            endpoints.observeFirstToken(
+                    attempt.tracker(), attempt.promptTokensToFirstToken(), report.timeToFirstTokenNanos());
+            attempt.markFirstToken();
+            endpoints.promptDone(attempt.tracker(), attempt.promptTokens());
+        }
+        if (report.phase() == DispatchPhase.FINISHED) {
+            admission.observeAnswer(attempt.request().descriptor(), report.answerTokens());
+        }
+        if (report.betweenTokensNanos() > 0) {
+            endpoints.observeBetweenTokens(attempt.tracker(), report.betweenTokensNanos());
+        }
+    }
+
+    private void fail(TrackedRequest request, DispatchReport report, Decisions decisions, long nowNanos) {
+        if (report.phase() != DispatchPhase.REFUSED) {
+            request.mayHaveRun(RetryRules.kind(report.phase()));
+        }
+        if (!request.attempts().isEmpty()) {
+            return;
+        }
+        if (retryRules.tryRetry(request, report)) {
+            delayed.add(request, nowNanos + retryDelay.drawNanos(request.attemptsStarted() + 1));
+            return;
+        }
+        requests.remove(request.descriptor().id());
+        if (report.retryWanted()) {
+            decisions.refuse(request.descriptor(), RetryRules.failure(request, report));
+        }
+    }
+
+    private void release(Attempt attempt) {
+        if (!attempt.firstTokenSeen()) {
+            endpoints.promptDone(attempt.tracker(), attempt.promptTokens());
+        }
+        endpoints.end(attempt.tracker());
+        attempt.request().end(attempt);
+    }
+
+    private void shedOverflow(Decisions decisions) {
+        while (queue.size() > settings.queueCapacity()) {
+            QueuedRequest victim = queue.last().orElseThrow();
+            queue.remove(victim.request().id());
+            refuse(victim, admission.shed(victim.request()), decisions);
+        }
+    }
+
+    private void refuse(QueuedRequest queued, Failure failure, Decisions decisions) {
+        TrackedRequest request = requests.remove(queued.request().id());
+        Failure honest = new Failure(request.honest(failure.kind()), failure.detail(), failure.retryAfter());
+        decisions.refuse(queued.request(), honest);
+    }
+
+    /** For tests that compare decisions with what the pool holds. */
+    List<RequestId> trackedRequests() {
+        return ImmutableList.copyOf(requests.keySet());
+    }
+}
--- /dev/null
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/pool/PoolHarness.java
@@ -0,0 +1,116 @@
+package org.cowslippick.scheduler.pool;
+
+import com.google.common.collect.HashMultiset;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Multiset;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.cowslippick.core.error.ErrorKind;
+import org.cowslippick.core.request.RequestDescriptor;
+import org.cowslippick.core.request.RequestId;
+
+/** Drives a pool and keeps, in plain lists, what a correct pool must hold: the waiting and the running requests. */
+final class PoolHarness {
+
+    private final PoolScheduler pool;
+    private final Map<RequestId, RequestDescriptor> offered = new HashMap<>();
+    private final Map<RequestId, RequestDescriptor> waiting = new LinkedHashMap<>();
+    private final List<Grant> running = new ArrayList<>();
+    private final List<Grant> grants = new ArrayList<>();
+    private final List<Refusal> refusals = new ArrayList<>();
+    private final Multiset<RequestId> provedNotStarted = HashMultiset.create();
+    private int shedInversions;
+    private long nowNanos;
+
+    PoolHarness(PoolScheduler pool, int endpoints, int concurrency) {
+        this.pool = pool;
+        pool.replaceEndpoints(Samples.endpoints(endpoints, concurrency), 0);
+    }
+
+    long nowNanos() {
+        return nowNanos;
+    }
+
+    void advance(long nanos) {
+        nowNanos += nanos;
+        take(pool.advance(nowNanos));
+    }
+
+    void offer(RequestDescriptor request) {
+        offered.put(request.id(), request);
+        waiting.put(request.id(), request);
+        take(pool.offer(request, nowNanos));
+    }
+
+    void withdraw(RequestId id) {
+        waiting.remove(id);
+        running.removeIf(grant -> grant.request().equals(id));
+        take(pool.withdraw(id, nowNanos));
+    }
+
+    void report(Grant grant, DispatchPhase phase) {
+        if (phase.ended()) {
+            running.remove(grant);
+        }
+        if (phase == DispatchPhase.REFUSED) {
+            provedNotStarted.add(grant.request());
+        }
+        take(pool.report(Samples.report(grant, phase), nowNanos));
+    }
+
+    /** How often an endpoint proved that it did not start the request. */
+    int provedNotStarted(RequestId id) {
+        return provedNotStarted.count(id);
+    }
+
+    RequestDescriptor descriptor(RequestId id) {
+        return offered.get(id);
+    }
+
+    ImmutableList<RequestDescriptor> waiting() {
+        return ImmutableList.copyOf(waiting.values());
+    }
+
+    ImmutableList<Grant> running() {
+        return ImmutableList.copyOf(running);
+    }
+
+    ImmutableList<Grant> grants() {
+        return ImmutableList.copyOf(grants);
+    }
+
+    ImmutableList<Refusal> refusals() {
+        return ImmutableList.copyOf(refusals);
+    }
+
+    /** How often a request was refused for overload while one of a lower tier waited. */
+    int shedInversions() {
+        return shedInversions;
+    }
+
+    private void take(PoolDecisions decisions) {
+        decisions.grants().forEach(grant -> {
+            waiting.remove(grant.request());
+            running.add(grant);
+            grants.add(grant);
+        });
+        decisions.refusals().forEach(refusal -> waiting.remove(refusal.request()));
+        decisions.refusals().forEach(refusal -> {
+            refusals.add(refusal);
+            shedInversions += inverted(refusal) ? 1 : 0;
+        });
+    }
+
+    private boolean inverted(Refusal refusal) {
+        ErrorKind kind = refusal.failure().kind();
+        boolean overload = kind == ErrorKind.SHED
+                || (kind == ErrorKind.DEADLINE_UNREACHABLE
+                        && refusal.failure().retryAfter().isPresent());
+        int rank = offered.get(refusal.request()).tier().rank();
+        return overload
+                && waiting.values().stream().anyMatch(other -> other.tier().rank() > rank);
+    }
+}
