Clients of model and application engines, admission and the life of a request

Cause: a request needs a path from the caller's credential to an endpoint. Change: entry.endpoint (streams with resume from the offset, identity check on every chunk) and entry.request (admission, one atomic state a request).

--- a/core/src/main/java/org/cowslippick/core/settings/SettingsTree.java
+++ b/core/src/main/java/org/cowslippick/core/settings/SettingsTree.java
@@ -50,6 +50,7 @@
     private final ImmutableList<Endpoint> endpoints;
     private final ImmutableMap<TierName, Tier> tiersByName;
     private final ImmutableMap<ServiceName, Service> servicesByName;
+    private final ImmutableMap<EndpointName, Endpoint> endpointsByName;
 
     private SettingsTree(SettingsDocument document) {
         this.document = document;
@@ -59,6 +60,8 @@
                 sections(SectionKind.SERVICE).map(SettingsTree::service).collect(ImmutableList.toImmutableList());
         this.endpoints = sections(SectionKind.ENDPOINT).map(this::endpoint).collect(ImmutableList.toImmutableList());
         this.tiersByName = tiers.stream().collect(ImmutableMap.toImmutableMap(Tier::name, tier -> tier));
+        this.endpointsByName =
+                endpoints.stream().collect(ImmutableMap.toImmutableMap(Endpoint::name, endpoint -> endpoint));
         this.servicesByName = services.stream().collect(ImmutableMap.toImmutableMap(Service::name, found -> found));
     }
 
@@ -102,6 +105,11 @@
         return Optional.ofNullable(servicesByName.get(name));
     }
 
+    /** Finds an endpoint. */
+    public Optional<Endpoint> endpoint(EndpointName name) {
+        return Optional.ofNullable(endpointsByName.get(name));
+    }
+
     /** Finds a failure domain and its region. */
     public Optional<FailureDomain> failureDomain(String name) {
         return document.section(SectionName.failureDomain(name))
--- /dev/null
+++ b/entry/src/main/java/org/cowslippick/entry/endpoint/EndpointHttp.java
@@ -0,0 +1,65 @@
+package org.cowslippick.entry.endpoint;
+
+import io.netty.channel.ConnectTimeoutException;
+import java.net.ConnectException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.stream.Stream;
+import org.cowslippick.core.world.Endpoint;
+import ratpack.exec.ExecController;
+import ratpack.http.client.HttpClient;
+
+/** The HTTP client that all endpoint clients share. Every dispatch uses a new connection, so that none goes stale. */
+public final class EndpointHttp implements AutoCloseable {
+
+    static final String REQUEST_ID_HEADER = "X-Request-Id";
+    static final String NOT_STARTED_HEADER = "X-Not-Started";
+    static final String SERVICE_HEADER = "X-Service";
+
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+    private static final Duration READ_TIMEOUT = Duration.ofMinutes(10);
+    private static final int MAXIMUM_ANSWER_BYTES = 16 << 20;
+
+    private final ExecController controller;
+    private final HttpClient client;
+
+    /** Creates the client on the event loops of the controller. */
+    public EndpointHttp(ExecController controller) {
+        this.controller = controller;
+        this.client = create(controller);
+    }
+
+    ExecController controller() {
+        return controller;
+    }
+
+    HttpClient client() {
+        return client;
+    }
+
+    @Override
+    public void close() {
+        client.close();
+    }
+
+    static URI uri(Endpoint endpoint, String path) {
+        return URI.create("http://" + endpoint.address() + path);
+    }
+
+    /** Whether the failure shows that no connection was made, so that nothing can have been sent. */
+    static boolean notSent(Throwable failure) {
+        return Stream.iterate(failure, cause -> cause != null, Throwable::getCause)
+                .anyMatch(cause -> cause instanceof ConnectException || cause instanceof ConnectTimeoutException);
+    }
+
+    private static HttpClient create(ExecController controller) {
+        try {
+            return HttpClient.of(spec -> spec.execController(controller)
+                    .connectTimeout(CONNECT_TIMEOUT)
+                    .readTimeout(READ_TIMEOUT)
+                    .maxContentLength(MAXIMUM_ANSWER_BYTES));
+        } catch (Exception failure) {
+            throw new IllegalStateException("cannot create the HTTP client of endpoints", failure);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cowslippick/entry/endpoint/ModelEngineClient.java
@@ -0,0 +1,23 @@
+package org.cowslippick.entry.endpoint;
+
+import org.cowslippick.core.request.RequestId;
+import org.cowslippick.core.world.Endpoint;
+import org.cowslippick.entry.endpoint.EndpointCall.ModelCall;
+
+/** Streams answers from model engines, by the OpenAI-style dialect of docs/INTERFACES.md. */
+public final class ModelEngineClient implements EndpointClient {
+
+    private final EndpointHttp http;
+
+    /** Creates a client that shares the HTTP client. */
+    public ModelEngineClient(EndpointHttp http) {
+        this.http = http;
+    }
+
+    @Override
+    public Dispatch dispatch(Endpoint endpoint, RequestId request, EndpointCall call, DispatchListener listener) {
+        ModelStream stream = new ModelStream(http, endpoint, request, listener);
+        stream.start((ModelCall) call);
+        return stream;
+    }
+}
--- a/entry/src/main/java/org/cowslippick/entry/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Placeholder. */
-package org.cowslippick.entry;
--- /dev/null
+++ b/entry/src/main/java/org/cowslippick/entry/request/AdmittedRequest.java
@@ -0,0 +1,23 @@
+package org.cowslippick.entry.request;
+
+import java.util.Optional;
+import org.cowslippick.core.request.IdempotencyKey;
+import org.cowslippick.core.request.RequestDescriptor;
+import org.cowslippick.core.request.RequestId;
+import org.cowslippick.core.world.Contract;
+import org.cowslippick.core.world.PoolKey;
+import org.cowslippick.entry.endpoint.EndpointCall;
+
+/** A request whose caller, service, tier and body were checked. */
+public record AdmittedRequest(
+        RequestDescriptor descriptor,
+        Contract contract,
+        PoolKey pool,
+        EndpointCall call,
+        Optional<IdempotencyKey> idempotencyKey,
+        Optional<String> ticket) {
+
+    public RequestId id() {
+        return descriptor.id();
+    }
+}
--- a/scheduler/src/main/java/org/cowslippick/scheduler/pool/DispatchPhase.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/pool/DispatchPhase.java
@@ -6,6 +6,8 @@
     FIRST_TOKEN(false, false),
     /** The whole answer arrived. */
     FINISHED(true, false),
+    /** No connection to the endpoint could be made, so nothing was sent. */
+    NOT_SENT(true, true),
     /** The endpoint refused it and proved that it did not start it. */
     REFUSED(true, true),
     /** The endpoint or its connection failed. */
