--- /dev/null
+++ b/entry/src/main/java/org/cowslippick/entry/door/ReceiptBody.java
@@ -0,0 +1,45 @@
+package org.cowslippick.entry.door;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import java.time.Duration;
+import java.util.Optional;
+import org.cowslippick.core.request.Receipt;
+
+/** A receipt as callers read it; times are milliseconds. */
+@JsonInclude(JsonInclude.Include.NON_NULL)
+record ReceiptBody(
+        String request,
+        String entry,
+        String tier,
+        String endpoint,
+        double queueMilliseconds,
+        Double timeToFirstTokenMilliseconds,
+        Double betweenTokensMilliseconds,
+        double promisedFirstTokenMilliseconds,
+        double promisedBetweenTokensMilliseconds,
+        boolean kept) {
+
+    private static final double NANOS_PER_MILLISECOND = 1_000_000.0;
+
+    static ReceiptBody of(Receipt receipt) {
+        return new ReceiptBody(
+                receipt.request().value(),
+                receipt.entry().value(),
+                receipt.tier().value(),
+                receipt.endpoint().map(Object::toString).orElse(null),
+                milliseconds(receipt.queueTime()),
+                optional(receipt.timeToFirstToken()),
+                optional(receipt.betweenTokens()),
+                milliseconds(receipt.promisedFirstToken()),
+                milliseconds(receipt.promisedBetweenTokens()),
+                receipt.kept());
+    }
+
+    private static Double optional(Optional<Duration> duration) {
+        return duration.map(ReceiptBody::milliseconds).orElse(null);
+    }
+
+    private static double milliseconds(Duration duration) {
+        return duration.toNanos() / NANOS_PER_MILLISECOND;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/cowslippick/entry/door/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP interface of an entry, by Ratpack: callers, operators, metrics and health. */
+package org.cowslippick.entry.door;
--- /dev/null
+++ b/standin/src/main/java/org/cowslippick/standin/demo/DemoCaller.java
@@ -0,0 +1,48 @@
+package org.cowslippick.standin.demo;
+
+import com.google.common.net.HostAndPort;
+import java.net.URI;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import ratpack.exec.internal.DefaultExecController;
+import ratpack.http.client.HttpClient;
+
+/** Sends single requests and waits for whole answers. */
+final class DemoCaller implements AutoCloseable {
+
+    private static final Duration READ_TIMEOUT = Duration.ofMinutes(1);
+
+    private final String credential;
+    private final DefaultExecController controller = new DefaultExecController(1);
+    private final HttpClient client;
+
+    DemoCaller(String credential) {
+        this.credential = credential;
+        try {
+            this.client = HttpClient.of(spec -> spec.execController(controller).readTimeout(READ_TIMEOUT));
+        } catch (Exception failure) {
+            throw new IllegalStateException("cannot create the caller's HTTP client", failure);
+        }
+    }
+
+    record Answer(int status, String body) {}
+
+    Answer send(HostAndPort address, String service, String tier, String body) {
+        CompletableFuture<Answer> answer = new CompletableFuture<>();
+        URI uri = URI.create("http://" + address + "/v1/services/" + service + "/requests");
+        controller.fork().onError(answer::completeExceptionally).start(_execution -> client.post(uri, spec -> {
+                    spec.getHeaders().set("Authorization", "Bearer " + credential);
+                    spec.getHeaders().set("X-Tier", tier);
+                    spec.getBody().type("application/json").text(body);
+                })
+                .then(response -> answer.complete(
+                        new Answer(response.getStatusCode(), response.getBody().getText()))));
+        return answer.join();
+    }
+
+    @Override
+    public void close() {
+        client.close();
+        controller.close();
+    }
+}
