--- /dev/null
+++ b/cli/src/main/java/org/cowslippick/cli/EntryCommand.java
@@ -0,0 +1,48 @@
+package org.cowslippick.cli;
+
+import com.google.common.collect.ImmutableList;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Optional;
+import joptsimple.OptionParser;
+import org.cowslippick.core.settings.EntrySettings;
+import org.cowslippick.core.settings.SettingsFault;
+
+/** Checks the settings file and starts the entry process; nothing starts if the file has a fault. */
+final class EntryCommand implements Command {
+
+    @Override
+    public void declare(OptionParser parser) {
+        parser.accepts("settings", "the settings file of this process")
+                .withRequiredArg()
+                .describedAs("FILE.ini");
+    }
+
+    @Override
+    public Either<CommandFailure, Report> run(Invocation invocation) {
+        return Optional.ofNullable((String) invocation.options().valueOf("settings"))
+                .map(file -> read(file).flatMap(EntryCommand::start))
+                .orElseGet(() -> Either.left(CommandFailure.usage("option --settings is missing")));
+    }
+
+    private static Either<CommandFailure, EntrySettings> read(String file) {
+        try {
+            return EntrySettings.parse(Files.readString(Path.of(file))).mapLeft(faults -> refused(file, faults));
+        } catch (IOException unreadable) {
+            return Either.left(CommandFailure.usage(
+                    "option --settings: cannot read \"" + file + "\": " + unreadable.getMessage()));
+        }
+    }
+
+    private static CommandFailure refused(String file, ImmutableList<SettingsFault> faults) {
+        return new CommandFailure(
+                ExitCode.REFUSED,
+                faults.stream().map(fault -> file + ": " + fault).collect(ImmutableList.toImmutableList()));
+    }
+
+    private static Either<CommandFailure, Report> start(EntrySettings _settings) {
+        return Either.left(CommandFailure.of(ExitCode.REFUSED, "the entry process is not part of this build"));
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/cowslippick/cli/operator/DrainCommand.java
@@ -0,0 +1,32 @@
+package org.cowslippick.cli.operator;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import io.vavr.control.Either;
+import joptsimple.OptionParser;
+import org.cowslippick.cli.Command;
+import org.cowslippick.cli.CommandFailure;
+import org.cowslippick.cli.Invocation;
+import org.cowslippick.cli.Report;
+
+/** Tells one entry to leave. */
+public final class DrainCommand implements Command {
+
+    @Override
+    public void declare(OptionParser parser) {
+        OperatorOptions.declare(parser);
+    }
+
+    @Override
+    public Either<CommandFailure, Report> run(Invocation invocation) {
+        return OperatorSession.run(invocation, session -> session.onlyEntry().flatMap(DrainCommand::drain));
+    }
+
+    private static Either<CommandFailure, Report> drain(EntryApi entry) {
+        return entry.post("/v1/drain", JsonNodeFactory.instance.objectNode())
+                .map(_accepted -> new Report(
+                        "entry " + entry.address() + " finishes its requests and leaves",
+                        JsonNodeFactory.instance
+                                .objectNode()
+                                .put("draining", entry.address().toString())));
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/cowslippick/cli/operator/OperatorOptions.java
@@ -0,0 +1,88 @@
+package org.cowslippick.cli.operator;
+
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
+import com.google.common.net.HostAndPort;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Optional;
+import joptsimple.OptionParser;
+import org.cowslippick.cli.CommandFailure;
+import org.cowslippick.cli.Invocation;
+import org.cowslippick.core.settings.SettingType;
+
+/** Where an operator's command connects to, and with which credential. */
+record OperatorOptions(
+        ImmutableList<HostAndPort> entries, Optional<HostAndPort> platform, Optional<String> credential) {
+
+    private static final String ENTRY = "entry";
+    private static final String PLATFORM = "platform";
+    private static final String CREDENTIAL_FILE = "credential-file";
+    private static final String ENTRY_VARIABLE = "COWSLIPPICK_ENTRY";
+    private static final String PLATFORM_VARIABLE = "COWSLIPPICK_PLATFORM";
+    private static final String CREDENTIAL_VARIABLE = "COWSLIPPICK_CREDENTIAL";
+    private static final Splitter COMMAS = Splitter.on(',').trimResults().omitEmptyStrings();
+
+    static void declare(OptionParser parser) {
+        parser.accepts(ENTRY, "addresses of entries; else " + ENTRY_VARIABLE)
+                .withRequiredArg()
+                .describedAs("HOST:PORT[,HOST:PORT]");
+        parser.accepts(PLATFORM, "address of the platform; else " + PLATFORM_VARIABLE)
+                .withRequiredArg()
+                .describedAs("HOST:PORT");
+        parser.accepts(CREDENTIAL_FILE, "file with the credential; else " + CREDENTIAL_VARIABLE)
+                .withRequiredArg()
+                .describedAs("FILE");
+        parser.accepts("json", "prints JSON");
+    }
+
+    static Either<CommandFailure, OperatorOptions> of(Invocation invocation) {
+        Either<CommandFailure, ImmutableList<HostAndPort>> entries = addresses(invocation, ENTRY, ENTRY_VARIABLE);
+        Either<CommandFailure, ImmutableList<HostAndPort>> platform =
+                addresses(invocation, PLATFORM, PLATFORM_VARIABLE);
+        return entries.flatMap(entryList -> platform.flatMap(platformList -> credential(invocation)
+                        .map(credential -> new OperatorOptions(
+                                entryList, platformList.stream().findFirst(), credential))))
+                .flatMap(OperatorOptions::withSomeAddress);
+    }
+
+    private Either<CommandFailure, OperatorOptions> withSomeAddress() {
+        return entries.isEmpty() && platform.isEmpty()
+                ? Either.left(CommandFailure.usage("one of --entry and --platform is needed"))
+                : Either.right(this);
+    }
+
+    private static Either<CommandFailure, ImmutableList<HostAndPort>> addresses(
+            Invocation invocation, String option, String variable) {
+        ImmutableList<String> texts = invocation
+                .value(option, variable)
+                .map(value -> ImmutableList.copyOf(COMMAS.split(value)))
+                .orElseGet(ImmutableList::of);
+        return texts.stream()
+                .filter(text -> SettingType.address(text).isEmpty())
+                .findFirst()
+                .map(text -> Either.<CommandFailure, ImmutableList<HostAndPort>>left(CommandFailure.usage("option --"
+                        + option + ": " + SettingType.ADDRESS.problem(text).orElse(text))))
+                .orElseGet(() -> Either.right(
+                        texts.stream().map(HostAndPort::fromString).collect(ImmutableList.toImmutableList())));
+    }
+
+    private static Either<CommandFailure, Optional<String>> credential(Invocation invocation) {
+        Optional<String> file =
+                Optional.ofNullable((String) invocation.options().valueOf(CREDENTIAL_FILE));
+        return file.map(OperatorOptions::readCredential)
+                .orElseGet(() -> Either.right(
+                        Optional.ofNullable(invocation.environment().get(CREDENTIAL_VARIABLE))));
+    }
+
+    private static Either<CommandFailure, Optional<String>> readCredential(String file) {
+        try {
+            return Either.right(Optional.of(Files.readString(Path.of(file)).strip()));
+        } catch (IOException unreadable) {
+            return Either.left(CommandFailure.usage(
+                    "option --" + CREDENTIAL_FILE + ": cannot read \"" + file + "\": " + unreadable.getMessage()));
+        }
+    }
+}
--- a/core/src/main/java/org/cowslippick/core/settings/SectionName.java
+++ b/core/src/main/java/org/cowslippick/core/settings/SectionName.java
@@ -73,6 +73,13 @@
                 .map(kind -> new SectionName(kind, names));
     }
 
+    /** Whether this is the other section or one that refines it, such as a service of an organisation. */
+    public boolean within(SectionName other) {
+        return kind.words().size() >= other.kind.words().size()
+                && kind.words().subList(0, other.kind.words().size()).equals(other.kind.words())
+                && names.subList(0, Math.min(names.size(), other.names.size())).equals(other.names);
+    }
+
     /** The header as it is written between the brackets. */
     @Override
     public String toString() {
