Silent connections, drain, metrics and the on-time record of an entry

Cause: a connection without a byte held its request until the deadline, and an entry could not leave. RequestDesk refuses new requests while draining and tells when the last has ended. Metrics, readiness, drain and the organisation's record over HTTP.

--- a/entry/src/main/java/org/cowslippick/entry/daemon/Entry.java
+++ b/entry/src/main/java/org/cowslippick/entry/daemon/Entry.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.net.HostAndPort;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ForkJoinPool;
 import java.util.function.Supplier;
 import org.cowslippick.core.settings.EntrySettings;
@@ -18,8 +19,11 @@
 import org.cowslippick.entry.endpoint.EndpointClients;
 import org.cowslippick.entry.endpoint.EndpointHttp;
 import org.cowslippick.entry.endpoint.ModelEngineClient;
+import org.cowslippick.entry.metrics.EntryMetrics;
+import org.cowslippick.entry.record.OnTimeRecord;
 import org.cowslippick.entry.request.Admission;
 import org.cowslippick.entry.request.RequestDesk;
+import org.cowslippick.entry.request.RequestOutcomes;
 import org.cowslippick.fleet.grant.LocalGrantClient;
 import org.cowslippick.fleet.grant.PoolFactory;
 import org.jboss.logging.Logger;
@@ -38,6 +42,7 @@
     private final DefaultExecController controller;
     private final EndpointHttp http;
     private final LocalGrantClient grants;
+    private final RequestDesk desk;
     private final FrontDoor door;
 
     /** Starts an entry. */
@@ -49,13 +54,16 @@
         Timeline timeline = new Timeline(entrySettings.instance().name(), timer, TIMELINE_EVENTS);
         this.grants = new LocalGrantClient(timer, ForkJoinPool.commonPool(), pools);
         grants.host().replaceEndpoints(endpoints(settings.get()));
-        RequestDesk desk = new RequestDesk(
+        EntryMetrics metrics = new EntryMetrics();
+        OnTimeRecord record = new OnTimeRecord(timer);
+        this.desk = new RequestDesk(
                 entrySettings.instance(),
                 timer,
                 timeline,
                 settings,
                 grants,
-                new EndpointClients(new ModelEngineClient(http), new ApplicationEngineClient(http)));
+                new EndpointClients(new ModelEngineClient(http), new ApplicationEngineClient(http)),
+                new RequestOutcomes(metrics, record));
         Admission admission = new Admission(entrySettings.instance(), timer, settings);
         this.door = new FrontDoor(
                 entrySettings.instance().callerAddress(),
@@ -64,6 +72,10 @@
                         desk,
                         _service -> new AddressBook.Answer(ImmutableList.of(address()), ADDRESSES_KEPT, ""),
                         timeline,
+                        metrics,
+                        record,
+                        entrySettings.instance().name(),
+                        this::drain,
                         entrySettings.maximumBodyBytes()));
         LOG.infof("started entry=%s address=%s", entrySettings.instance().name(), address());
     }
@@ -73,6 +85,16 @@
         return HostAndPort.fromParts(entrySettings.instance().callerAddress().getHost(), door.port());
     }
 
+    /** Refuses new requests and lets those in flight end. */
+    public void drain() {
+        desk.drain();
+    }
+
+    /** Completes when the entry was drained and its last request has ended. */
+    public CompletableFuture<Boolean> drained() {
+        return desk.drained();
+    }
+
     @Override
     public void close() {
         door.close();
--- a/entry/src/main/java/org/cowslippick/entry/door/FrontDoor.java
+++ b/entry/src/main/java/org/cowslippick/entry/door/FrontDoor.java
@@ -7,6 +7,9 @@
 import org.cowslippick.core.error.ErrorKind;
 import org.cowslippick.core.error.Failure;
 import org.cowslippick.core.timeline.Timeline;
+import org.cowslippick.core.world.InstanceName;
+import org.cowslippick.entry.metrics.EntryMetrics;
+import org.cowslippick.entry.record.OnTimeRecord;
 import org.cowslippick.entry.request.Admission;
 import org.cowslippick.entry.request.RequestDesk;
 import org.jboss.logging.Logger;
@@ -33,7 +36,15 @@
 
     /** What the handlers use. */
     public record DoorParts(
-            Admission admission, RequestDesk desk, AddressBook addresses, Timeline timeline, int maximumBodyBytes) {}
+            Admission admission,
+            RequestDesk desk,
+            AddressBook addresses,
+            Timeline timeline,
+            EntryMetrics metrics,
+            OnTimeRecord record,
+            InstanceName entry,
+            Runnable whenDrainWanted,
+            int maximumBodyBytes) {}
 
     public int port() {
         return server.getBindPort();
@@ -66,11 +77,17 @@
 
     private void routes(Chain chain) {
         chain.get("live", context -> context.getResponse().send("live"))
-                .get("ready", context -> context.getResponse().send("ready"))
+                .get("ready", this::ready)
+                .get("metrics", context -> context.getResponse()
+                        .send(EntryMetrics.CONTENT_TYPE, parts.metrics().text()))
                 .get("v1/addresses", new AddressesHandler(parts.admission(), parts.addresses()))
                 .post("v1/services/:service/requests", requests(AnswerFormat.NATIVE, body -> body.pathToken("service")))
                 .post("v1/chat/completions", requests(AnswerFormat.OPEN_AI, body -> body.field("model")))
                 .delete("v1/requests/:request", new CancelHandler(parts.admission(), parts.desk()))
+                .post("v1/drain", this::drain)
+                .get(
+                        "v1/organisations/:organisation/record",
+                        new RecordHandler(parts.admission(), parts.record(), parts.entry()))
                 .get("v1/timeline", new TimelineHandler(parts.admission(), parts.timeline()))
                 .all(FrontDoor::unknownPath);
     }
@@ -79,6 +96,20 @@
         return new RequestsHandler(parts.admission(), parts.desk(), format, parts.maximumBodyBytes(), serviceName);
     }
 
+    private void ready(Context context) {
+        boolean ready = !parts.desk().draining();
+        context.getResponse().status(ready ? 200 : 503).send(ready ? "ready" : "draining");
+    }
+
+    private void drain(Context context) {
+        if (!parts.admission().operator(Answers.header(context, "Authorization"))) {
+            Answers.error(context, Failure.of(ErrorKind.UNAUTHENTICATED, "this needs an operator's credential"));
+            return;
+        }
+        context.getResponse().status(202).send();
+        parts.whenDrainWanted().run();
+    }
+
     private static void unknownPath(Context context) {
         Answers.error(
                 context,
--- a/entry/src/main/java/org/cowslippick/entry/endpoint/ApplicationEngineClient.java
+++ b/entry/src/main/java/org/cowslippick/entry/endpoint/ApplicationEngineClient.java
@@ -46,24 +46,30 @@
         if (status == REFUSED_STATUS && response.getHeaders().contains(EndpointHttp.NOT_STARTED_HEADER)) {
             ending.refused("endpoint " + endpoint.name() + " refused request " + request);
         } else if (status != 200) {
-            ending.failed(Failure.of(
-                    ErrorKind.ENDPOINT_FAILED, "endpoint " + endpoint.name() + " answered with status " + status));
+            ending.failed(
+                    DispatchFault.FAILED,
+                    Failure.of(
+                            ErrorKind.ENDPOINT_FAILED,
+                            "endpoint " + endpoint.name() + " answered with status " + status));
         } else if (!request.value().equals(answered)) {
-            ending.failed(Failure.of(
-                    ErrorKind.ANSWER_MISMATCHED,
-                    "endpoint " + endpoint.name() + " answered request " + request + " with that of another"));
+            ending.failed(
+                    DispatchFault.FAILED,
+                    Failure.of(
+                            ErrorKind.ANSWER_MISMATCHED,
+                            "endpoint " + endpoint.name() + " answered request " + request + " with that of another"));
         } else {
             ending.finished(response.getBody().getText());
         }
     }
 
-    private static void broken(Endpoint endpoint, SingleEnding ending, Throwable cause) {
+    private void broken(Endpoint endpoint, SingleEnding ending, Throwable cause) {
         if (EndpointHttp.notSent(cause)) {
             ending.notSent("endpoint " + endpoint.name() + " accepts no connection: " + cause.getMessage());
-        } else {
-            ending.failed(Failure.of(
-                    ErrorKind.ENDPOINT_FAILED,
-                    "the connection to endpoint " + endpoint.name() + " broke: " + cause.getMessage()));
+            return;
         }
+        Failure failure = Failure.of(
+                ErrorKind.ENDPOINT_FAILED,
+                "the connection to endpoint " + endpoint.name() + " broke: " + cause.getMessage());
+        http.probe(endpoint, alive -> ending.failed(alive ? DispatchFault.FAILED : DispatchFault.CRASHED, failure));
     }
 }
--- a/entry/src/main/java/org/cowslippick/entry/endpoint/DispatchListener.java
+++ b/entry/src/main/java/org/cowslippick/entry/endpoint/DispatchListener.java
@@ -18,5 +18,5 @@
     void refused(String detail);
 
     /** Ends: the endpoint failed after the request was sent, so that it may have run. */
-    void failed(Failure failure);
+    void failed(DispatchFault fault, Failure failure);
 }
--- a/entry/src/main/java/org/cowslippick/entry/endpoint/EndpointHttp.java
+++ b/entry/src/main/java/org/cowslippick/entry/endpoint/EndpointHttp.java
@@ -4,6 +4,7 @@
 import java.net.ConnectException;
 import java.net.URI;
 import java.time.Duration;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.cowslippick.core.world.Endpoint;
 import ratpack.exec.ExecController;
@@ -16,6 +17,10 @@
     static final String NOT_STARTED_HEADER = "X-Not-Started";
     static final String SERVICE_HEADER = "X-Service";
 
+    /** How long a connection may stay without a byte before a new one is tried. */
+    static final Duration SILENCE_TIMEOUT = Duration.ofSeconds(3);
+
+    private static final String LOAD_PATH = "/v1/load";
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration READ_TIMEOUT = Duration.ofMinutes(10);
     private static final int MAXIMUM_ANSWER_BYTES = 16 << 20;
@@ -37,6 +42,13 @@
         return client;
     }
 
+    /** Asks for the endpoint's load on a new connection and tells whether a connection could be made. */
+    void probe(Endpoint endpoint, Consumer<Boolean> result) {
+        controller.fork().onError(cause -> result.accept(!notSent(cause))).start(_execution -> client.request(
+                        uri(endpoint, LOAD_PATH), spec -> spec.readTimeout(SILENCE_TIMEOUT))
+                .then(_response -> result.accept(true)));
+    }
+
     @Override
     public void close() {
         client.close();
--- a/entry/src/main/java/org/cowslippick/entry/endpoint/SingleEnding.java
+++ b/entry/src/main/java/org/cowslippick/entry/endpoint/SingleEnding.java
@@ -51,9 +51,9 @@
     }
 
     @Override
-    public void failed(Failure failure) {
+    public void failed(DispatchFault fault, Failure failure) {
         if (end()) {
-            listener.failed(failure);
+            listener.failed(fault, failure);
         }
     }
 }
--- /dev/null
+++ b/entry/src/main/java/org/cowslippick/entry/record/package-info.java
@@ -0,0 +1,2 @@
+/** The on-time record that each organisation can read. */
+package org.cowslippick.entry.record;
--- a/entry/src/main/java/org/cowslippick/entry/request/FlowParts.java
+++ b/entry/src/main/java/org/cowslippick/entry/request/FlowParts.java
@@ -20,6 +20,7 @@
         Supplier<SettingsTree> settings,
         GrantClient grants,
         EndpointClient endpoints,
+        RequestOutcomes outcomes,
         Consumer<RequestFlow> whenEnded) {
 
     Optional<Endpoint> endpoint(EndpointName name) {
--- a/entry/src/main/java/org/cowslippick/entry/request/RequestDesk.java
+++ b/entry/src/main/java/org/cowslippick/entry/request/RequestDesk.java
@@ -2,8 +2,12 @@
 
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
+import org.cowslippick.core.error.ErrorKind;
+import org.cowslippick.core.error.Failure;
 import org.cowslippick.core.request.RequestId;
 import org.cowslippick.core.settings.SettingsTree;
 import org.cowslippick.core.time.TimerService;
@@ -19,6 +23,8 @@
 
     private final FlowParts parts;
     private final Map<RequestId, RequestFlow> flows = new ConcurrentHashMap<>();
+    private final AtomicBoolean draining = new AtomicBoolean();
+    private final CompletableFuture<Boolean> drained = new CompletableFuture<>();
 
     /** Creates a desk without requests. */
     public RequestDesk(
@@ -27,8 +33,27 @@
             Timeline timeline,
             Supplier<SettingsTree> settings,
             GrantClient grants,
-            EndpointClient endpoints) {
-        this.parts = new FlowParts(self, timer, timeline, settings, grants, endpoints, this::ended);
+            EndpointClient endpoints,
+            RequestOutcomes outcomes) {
+        this.parts = new FlowParts(self, timer, timeline, settings, grants, endpoints, outcomes, this::ended);
+    }
+
+    /** Refuses new requests from now on and lets those in flight end. */
+    public void drain() {
+        if (!draining.getAndSet(true)) {
+            parts.timeline().record(EventKind.ENTRY_DRAINING, flows.size() + " requests in flight");
+        }
+        completeWhenEmpty();
+    }
+
+    /** Completes when the entry was drained and its last request has ended. */
+    public CompletableFuture<Boolean> drained() {
+        return drained;
+    }
+
+    /** Whether the entry is leaving. */
+    public boolean draining() {
+        return draining.get();
     }
 
     /** Starts a request; the listener hears its answer. */
@@ -43,7 +68,12 @@
                         request.descriptor().organisation(),
                         "service " + request.descriptor().service() + " tier "
                                 + request.descriptor().tier().name());
-        flow.start();
+        if (draining.get()) {
+            flow.refused(
+                    Failure.of(ErrorKind.ENTRY_DRAINING, "entry " + parts.self().name() + " is leaving"));
+        } else {
+            flow.start();
+        }
         return flow;
     }
 
@@ -60,5 +90,12 @@
 
     private void ended(RequestFlow flow) {
         flows.remove(flow.request().id());
+        completeWhenEmpty();
+    }
+
+    private void completeWhenEmpty() {
+        if (draining.get() && flows.isEmpty()) {
+            drained.complete(true);
+        }
     }
 }
--- a/entry/src/main/java/org/cowslippick/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/cowslippick/entry/request/RequestFlow.java
@@ -15,6 +15,7 @@
 import org.cowslippick.core.world.Endpoint;
 import org.cowslippick.core.world.EndpointName;
 import org.cowslippick.entry.endpoint.Dispatch;
+import org.cowslippick.entry.endpoint.DispatchFault;
 import org.cowslippick.entry.endpoint.DispatchListener;
 import org.cowslippick.fleet.grant.GrantListener;
 import org.cowslippick.scheduler.pool.DispatchPhase;
@@ -106,6 +107,7 @@
         }
         record(event, before.winner().map(Attempt::endpoint), failure.kind().text());
         Receipt receipt = clock.receipt(before.winner().map(Attempt::endpoint), false);
+        parts.outcomes().failed(request, failure, receipt);
         parts.ended(this);
         listener.failed(failure, receipt);
     }
@@ -190,8 +192,10 @@
             if (!before.ended()) {
                 report(attempt, DispatchPhase.FINISHED, timeToFirstTokenNanos, false);
                 record(EventKind.REQUEST_ANSWERED, Optional.of(attempt.endpoint()), clock.tokens() + " tokens");
+                Receipt receipt = clock.receipt(Optional.of(attempt.endpoint()), true);
+                parts.outcomes().answered(request, receipt);
                 parts.ended(RequestFlow.this);
-                listener.finished(body, clock.receipt(Optional.of(attempt.endpoint()), true));
+                listener.finished(body, receipt);
             }
         }
 
@@ -210,9 +214,9 @@
         }
 
         @Override
-        public void failed(Failure failure) {
-            boolean nothingSent = !clock.firstTokenSeen();
-            attemptFailed(DispatchPhase.FAILED, failure, rule().retryAfterStart() && nothingSent, true);
+        public void failed(DispatchFault fault, Failure failure) {
+            boolean nothingRelayed = !clock.firstTokenSeen();
+            attemptFailed(fault.phase(), failure, rule().retryAfterStart() && nothingRelayed, true);
         }
 
         private DispatchRule rule() {
