Short prompt backlogs in engines, learnt windows, stragglers, hedges

A slowed engine was noticed only by its full window.

Change: an engine gets a further request only while its predicted prompt backlog is under 50 ms, predicted from a line fitted to the time that each prompt kept it busy. Windows follow the time between tokens by AIMD with a remembered ceiling. An endpoint three times slower than predicted and than the pool, or with three faults running, gets single probes only; at most a minority of endpoints. An overdue first token counts as an observation, and an idempotent request is hedged then, under a budget.

Lower tiers still wait for long and then miss their deadline in the queue; early refusal is next.

--- a/scheduler/src/main/java/org/cowslippick/scheduler/endpoint/EndpointTable.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/endpoint/EndpointTable.java
@@ -19,25 +19,48 @@
 public final class EndpointTable {
 
     private static final int CANDIDATES = 4;
+    private static final double LARGEST_POOL_RATIO = 3;
+    private static final double POOL_FACTOR_GAIN = 0.05;
     private static final Comparator<EndpointTracker> BY_SCORE =
             Comparator.comparingDouble(EndpointTracker::score).thenComparing(EndpointTracker::name);
+    private static final Comparator<EndpointTracker> BY_PROBE_TIME =
+            Comparator.comparingLong(EndpointTracker::probeAtNanos).thenComparing(EndpointTracker::name);
 
     private final Map<EndpointName, EndpointTracker> byName = new HashMap<>();
     private final TreeSet<EndpointTracker> available = new TreeSet<>(BY_SCORE);
+    private final TreeSet<EndpointTracker> probed = new TreeSet<>(BY_PROBE_TIME);
     private final SpeedModel poolSpeed = new SpeedModel();
+    private final long betweenTokensNanos;
+    private final long promptBacklogNanos;
     private ImmutableList<EndpointTracker> members = ImmutableList.of();
+    private double poolFactor = 1;
     private int totalWindow;
+    private int suspected;
+
+    /**
+     * Creates a table without endpoints.
+     *
+     * @param betweenTokensNanos the time between tokens that endpoints are kept below
+     * @param promptBacklogNanos the prompt work that an endpoint may have ahead when it gets a further request
+     */
+    public EndpointTable(long betweenTokensNanos, long promptBacklogNanos) {
+        this.betweenTokensNanos = betweenTokensNanos;
+        this.promptBacklogNanos = promptBacklogNanos;
+    }
 
     /** Takes the new list of endpoints; what was learnt of those that stay is kept. */
     public void replace(ImmutableList<Endpoint> endpoints) {
         Map<EndpointName, EndpointTracker> before = new HashMap<>(byName);
         byName.clear();
         available.clear();
+        probed.clear();
         totalWindow = 0;
+        suspected = 0;
         members = endpoints.stream()
                 .map(endpoint -> Optional.ofNullable(before.get(endpoint.name()))
                         .filter(tracker -> tracker.endpoint().equals(endpoint))
-                        .orElseGet(() -> new EndpointTracker(endpoint, poolSpeed)))
+                        .orElseGet(
+                                () -> new EndpointTracker(endpoint, poolSpeed, betweenTokensNanos, promptBacklogNanos)))
                 .collect(ImmutableList.toImmutableList());
         members.forEach(this::insert);
     }
@@ -74,12 +97,24 @@
                         * (1 + (double) tracker.inFlight() / tracker.window())));
     }
 
+    /** An endpoint under suspicion that is due to be probed with a request. */
+    public Optional<EndpointTracker> chooseProbe(
+            boolean idempotent, Predicate<EndpointTracker> allowed, long nowNanos) {
+        return probed.stream()
+                .limit(1)
+                .filter(tracker -> tracker.probeDue(idempotent, nowNanos))
+                .filter(allowed)
+                .findFirst();
+    }
+
     /** Changes an endpoint and keeps its place in the order right. */
-    public void update(EndpointTracker tracker, Consumer<EndpointTracker> change) {
+    private void update(EndpointTracker tracker, Consumer<EndpointTracker> change) {
         boolean member = byName.get(tracker.name()) == tracker;
         if (member) {
             available.remove(tracker);
+            probed.remove(tracker);
             totalWindow -= tracker.window();
+            suspected -= tracker.suspected() ? 1 : 0;
         }
         change.accept(tracker);
         if (member) {
@@ -88,13 +123,13 @@
     }
 
     /** A request with this many prompt tokens to compute is dispatched to the endpoint. */
-    public void start(EndpointTracker tracker, long promptTokens) {
-        update(tracker, changed -> changed.start(promptTokens));
+    public void start(EndpointTracker tracker, long promptTokens, long nowNanos) {
+        update(tracker, changed -> changed.start(promptTokens, nowNanos));
     }
 
-    /** A dispatched request has its first token or ended without one. */
+    /** A dispatched request ended or its first token arrived; its prompt is no longer ahead of others. */
     public void promptDone(EndpointTracker tracker, long promptTokens) {
-        update(tracker, changed -> changed.firstToken(promptTokens));
+        update(tracker, changed -> changed.promptDone(promptTokens));
     }
 
     /** A dispatched request left the endpoint. */
@@ -102,24 +137,54 @@
         update(tracker, EndpointTracker::end);
     }
 
-    /** Learns from a first token behind so many prompt tokens. */
-    public void observeFirstToken(EndpointTracker tracker, long promptTokens, long nanos) {
-        poolSpeed.observeFirstToken(promptTokens, nanos);
-        update(tracker, changed -> changed.speed().observeFirstToken(promptTokens, nanos));
+    /** Learns from a first token. */
+    public void observeFirstToken(
+            EndpointTracker tracker, long promptTokens, long dispatchedAtNanos, long nanos, long nowNanos) {
+        update(tracker, changed -> {
+            double ratio = changed.observeFirstToken(promptTokens, dispatchedAtNanos, dispatchedAtNanos + nanos);
+            judge(changed, ratio, nowNanos);
+        });
     }
 
     /** Learns from the mean time between the tokens of one answer. */
-    public void observeBetweenTokens(EndpointTracker tracker, long nanos) {
-        poolSpeed.observeBetweenTokens(nanos);
-        update(tracker, changed -> changed.speed().observeBetweenTokens(nanos));
+    public void observeBetweenTokens(EndpointTracker tracker, long nanos, long nowNanos) {
+        update(tracker, changed -> judge(changed, changed.observeBetweenTokens(nanos, nowNanos), nowNanos));
+    }
+
+    /** Learns that a first token is missing after so many times its predicted time. */
+    public void observeOverdue(EndpointTracker tracker, double ratio, long nowNanos) {
+        update(tracker, changed -> {
+            changed.observeOverdue(ratio);
+            judge(changed, ratio, nowNanos);
+        });
+    }
+
+    /** Learns that an attempt failed. */
+    public void observeFault(EndpointTracker tracker, long nowNanos) {
+        update(tracker, changed -> {
+            changed.observeFault();
+            judge(changed, 1, nowNanos);
+        });
+    }
+
+    /** At most a minority of the endpoints is under suspicion at a time. */
+    private void judge(EndpointTracker tracker, double ratio, long nowNanos) {
+        double bounded = Math.min(LARGEST_POOL_RATIO, ratio);
+        poolFactor += POOL_FACTOR_GAIN * (bounded - poolFactor);
+        boolean maySuspect = 2 * (suspected + 1) < members.size();
+        tracker.judge(poolFactor, maySuspect, nowNanos);
     }
 
     private void insert(EndpointTracker tracker) {
         byName.put(tracker.name(), tracker);
         totalWindow += tracker.window();
+        suspected += tracker.suspected() ? 1 : 0;
         tracker.updateScore();
         if (tracker.available()) {
             available.add(tracker);
         }
+        if (tracker.suspected() && tracker.inFlight() == 0) {
+            probed.add(tracker);
+        }
     }
 }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/endpoint/EndpointTracker.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/endpoint/EndpointTracker.java
@@ -1,24 +1,38 @@
 package org.cowslippick.scheduler.endpoint;
 
+import java.util.stream.Stream;
 import org.cowslippick.core.world.Endpoint;
+import org.cowslippick.core.world.EndpointKind;
 import org.cowslippick.core.world.EndpointName;
 
-/** The state of one endpoint as its pool sees it. Only {@link EndpointTable} changes it. */
+/**
+ * The state of one endpoint as its pool sees it. A model engine computes prompts one after the other, so the backlog of
+ * prompts is kept short: otherwise a request of a high tier would wait inside the engine behind lower ones. Only
+ * {@link EndpointTable} changes it.
+ */
 public final class EndpointTracker {
 
     private static final int REFERENCE_PROMPT_TOKENS = 256;
     private static final int REFERENCE_ANSWER_TOKENS = 64;
+    private static final double LARGEST_LEARNT_RATIO = 3;
 
     private final Endpoint endpoint;
-    private final SpeedModel speed = new SpeedModel();
     private final SpeedModel poolSpeed;
+    private final long promptBacklogNanos;
+    private final SpeedModel speed = new SpeedModel();
+    private final EndpointHealth health = new EndpointHealth();
+    private final AdmissionWindow window;
     private int inFlight;
+    private int pendingPrompts;
     private long pendingPromptTokens;
+    private long lastFirstTokenAtNanos = Long.MIN_VALUE;
     private double score;
 
-    EndpointTracker(Endpoint endpoint, SpeedModel poolSpeed) {
+    EndpointTracker(Endpoint endpoint, SpeedModel poolSpeed, long betweenTokensNanos, long promptBacklogNanos) {
         this.endpoint = endpoint;
         this.poolSpeed = poolSpeed;
+        this.promptBacklogNanos = promptBacklogNanos;
+        this.window = new AdmissionWindow(endpoint.concurrency(), betweenTokensNanos);
     }
 
     public Endpoint endpoint() {
@@ -33,24 +47,32 @@
         return inFlight;
     }
 
+    /** How many requests it may run at once; one under suspicion runs a single probe. */
     public int window() {
-        return endpoint.concurrency();
+        return health.suspected() ? 1 : window.size();
+    }
+
+    public boolean slow() {
+        return health.slow();
     }
 
-    /** Prompt tokens that were dispatched to it and not answered with a first token yet. */
-    public long pendingPromptTokens() {
-        return pendingPromptTokens;
+    public boolean ejected() {
+        return health.ejected();
     }
 
-    /** The predicted time from dispatch to the first token behind the prompts that it has to compute before. */
+    public boolean suspected() {
+        return health.suspected();
+    }
+
+    /** The predicted time from dispatch to the first token, behind the prompts that it has to compute before. */
     public double firstTokenNanos(double promptTokens) {
-        SpeedModel model = speed.knowsFirstToken() ? speed : poolSpeed;
-        return model.firstTokenNanos(pendingPromptTokens + promptTokens);
+        return promptModel().promptsNanos(pendingPrompts + 1, pendingPromptTokens + promptTokens)
+                * health.firstToken().factor();
     }
 
     public double betweenTokensNanos() {
         SpeedModel model = speed.knowsBetweenTokens() ? speed : poolSpeed;
-        return model.betweenTokensNanos();
+        return model.betweenTokensNanos() * health.betweenTokens().factor();
     }
 
     /** The predicted time from dispatch to the whole answer. */
@@ -58,20 +80,32 @@
         return firstTokenNanos(promptTokens) + betweenTokensNanos() * answerTokens;
     }
 
-    SpeedModel speed() {
-        return speed;
+    /** Whether a probe may be sent; one that is long overdue is sent with a request that cannot be hedged, too. */
+    boolean probeDue(boolean idempotent, long nowNanos) {
+        return idempotent ? health.probeDue(nowNanos) : health.probeOverdue(nowNanos);
+    }
+
+    long probeAtNanos() {
+        return health.probeAtNanos();
     }
 
     boolean available() {
-        return inFlight < window();
+        return !health.suspected()
+                && inFlight < window()
+                && (pendingPrompts == 0 || backlogNanos() < promptBacklogNanos);
     }
 
-    void start(long promptTokens) {
+    void start(long promptTokens, long nowNanos) {
         inFlight++;
+        pendingPrompts++;
         pendingPromptTokens += promptTokens;
+        if (health.suspected()) {
+            health.probeSent(nowNanos);
+        }
     }
 
-    void firstToken(long promptTokens) {
+    void promptDone(long promptTokens) {
+        pendingPrompts--;
         pendingPromptTokens -= promptTokens;
     }
 
@@ -79,6 +113,46 @@
         inFlight--;
     }
 
+    /** Learns from a first token; returns the ratio of the observed to the predicted time. */
+    double observeFirstToken(long promptTokens, long dispatchedAtNanos, long firstTokenAtNanos) {
+        long startedAtNanos = Math.max(dispatchedAtNanos, Math.min(lastFirstTokenAtNanos, firstTokenAtNanos));
+        double nanos = (double) Math.max(1, firstTokenAtNanos - startedAtNanos);
+        lastFirstTokenAtNanos = Math.max(lastFirstTokenAtNanos, firstTokenAtNanos);
+        double predicted = promptModel().promptsNanos(1, (double) promptTokens);
+        double ratio = predicted > 0 ? nanos / predicted : 1;
+        learningModels().forEach(model -> model.observePrompt((double) promptTokens, learnt(nanos, predicted)));
+        health.firstToken().observe(ratio);
+        health.success();
+        return ratio;
+    }
+
+    /** Learns from an answer; returns the ratio of the observed to the predicted time between tokens. */
+    double observeBetweenTokens(long nanos, long nowNanos) {
+        double predicted = speed.knowsBetweenTokens() ? speed.betweenTokensNanos() : poolSpeed.betweenTokensNanos();
+        double ratio = predicted > 0 ? nanos / predicted : 1;
+        learningModels().forEach(model -> model.observeBetweenTokens(learnt((double) nanos, predicted)));
+        health.betweenTokens().observe(ratio);
+        window.observe((double) nanos, inFlight, nowNanos);
+        return ratio;
+    }
+
+    /** Learns that a first token is still missing after so many times its predicted time. */
+    void observeOverdue(double ratio) {
+        health.firstToken().observe(ratio);
+    }
+
+    void observeFault() {
+        health.fault();
+    }
+
+    void judge(double poolFactor, boolean maySuspect, long nowNanos) {
+        boolean before = health.suspected();
+        health.judge(poolFactor, maySuspect, nowNanos);
+        if (before && !health.suspected()) {
+            window.restart();
+        }
+    }
+
     /** The order in which endpoints are tried; set while the tracker is not in an ordered set. */
     double score() {
         return score;
@@ -88,4 +162,24 @@
         double load = 1 + (double) inFlight / window();
         score = (1 + serviceNanos(REFERENCE_PROMPT_TOKENS, REFERENCE_ANSWER_TOKENS)) * load;
     }
+
+    private double backlogNanos() {
+        return endpoint.kind() == EndpointKind.MODEL
+                ? promptModel().promptsNanos(pendingPrompts, (double) pendingPromptTokens)
+                : 0;
+    }
+
+    /** An endpoint under suspicion teaches nothing about the others. */
+    private Stream<SpeedModel> learningModels() {
+        return health.suspected() ? Stream.of(speed) : Stream.of(speed, poolSpeed);
+    }
+
+    private SpeedModel promptModel() {
+        return speed.knowsPrompts() ? speed : poolSpeed;
+    }
+
+    /** Bounds an observation, so that a slow time does not become the expectation at once. */
+    private static double learnt(double nanos, double predicted) {
+        return predicted > 0 ? Math.min(nanos, LARGEST_LEARNT_RATIO * predicted) : nanos;
+    }
 }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/endpoint/SpeedModel.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/endpoint/SpeedModel.java
@@ -1,15 +1,15 @@
 package org.cowslippick.scheduler.endpoint;
 
 /**
- * Predicts the time to first token as a line over the prompt tokens that are computed before it, and the time between
- * tokens as a mean. The line is fitted by least squares in which old observations count less and less; without
- * observations all predictions are 0.
+ * Predicts how long one prompt keeps an endpoint busy, as a line over its tokens, and the time between tokens, as a
+ * mean. The line is fitted by least squares in which old observations count less and less; without observations all
+ * predictions are 0.
  */
 public final class SpeedModel {
 
     private static final double DECAY = 0.97;
     private static final double BETWEEN_TOKENS_GAIN = 0.1;
-    private static final double MINIMUM_WEIGHT = 0.5;
+    private static final double MINIMUM_VARIANCE = 1;
 
     private double weight;
     private double sumTokens;
@@ -20,10 +20,8 @@
     private double nanosPerToken;
     private double betweenTokensNanos;
 
-    /** Learns from one first token. */
-    public void observeFirstToken(long promptTokens, long firstTokenNanos) {
-        double tokens = (double) promptTokens;
-        double nanos = (double) firstTokenNanos;
+    /** Learns from the time that one prompt took. */
+    void observePrompt(double tokens, double nanos) {
         weight = weight * DECAY + 1;
         sumTokens = sumTokens * DECAY + tokens;
         sumNanos = sumNanos * DECAY + nanos;
@@ -33,27 +31,22 @@
     }
 
     /** Learns from the mean time between the tokens of one answer. */
-    public void observeBetweenTokens(long meanNanos) {
-        double nanos = (double) meanNanos;
-        betweenTokensNanos = betweenTokensNanos == 0
-                ? nanos
-                : betweenTokensNanos + BETWEEN_TOKENS_GAIN * (nanos - betweenTokensNanos);
+    void observeBetweenTokens(double nanos) {
+        double gain = betweenTokensNanos == 0 ? 1 : BETWEEN_TOKENS_GAIN;
+        betweenTokensNanos += gain * (nanos - betweenTokensNanos);
     }
 
-    public boolean knowsFirstToken() {
-        return weight >= MINIMUM_WEIGHT;
+    public boolean knowsPrompts() {
+        return weight > 0;
     }
 
     public boolean knowsBetweenTokens() {
         return betweenTokensNanos > 0;
     }
 
-    public double firstTokenNanos(double tokens) {
-        return baseNanos + nanosPerToken * tokens;
-    }
-
-    public double nanosPerPromptToken() {
-        return nanosPerToken;
+    /** The predicted time for so many prompts with so many tokens in total. */
+    public double promptsNanos(int prompts, double tokens) {
+        return baseNanos * prompts + nanosPerToken * tokens;
     }
 
     public double betweenTokensNanos() {
@@ -65,7 +58,7 @@
         double meanNanos = sumNanos / weight;
         double variance = sumTokensTokens / weight - meanTokens * meanTokens;
         double covariance = sumTokensNanos / weight - meanTokens * meanNanos;
-        nanosPerToken = variance > 1 ? Math.max(0, covariance / variance) : 0;
+        nanosPerToken = variance > MINIMUM_VARIANCE ? Math.max(0, covariance / variance) : 0;
         baseNanos = meanNanos - nanosPerToken * meanTokens;
         if (baseNanos < 0) {
             baseNanos = 0;
--- a/scheduler/src/main/java/org/cowslippick/scheduler/pool/Admission.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/pool/Admission.java
@@ -56,7 +56,7 @@
     }
 
     QueuedRequest queued(RequestDescriptor request) {
-        double firstTokenNanos = endpoints.poolSpeed().firstTokenNanos(request.promptTokens());
+        double firstTokenNanos = endpoints.poolSpeed().promptsNanos(1, request.promptTokens());
         long serviceNanos = serviceNanos(request);
         return new QueuedRequest(
                 request,
@@ -111,7 +111,7 @@
     }
 
     private long serviceNanos(RequestDescriptor request) {
-        return (long) (endpoints.poolSpeed().firstTokenNanos(request.promptTokens())
+        return (long) (endpoints.poolSpeed().promptsNanos(1, request.promptTokens())
                 + endpoints.poolSpeed().betweenTokensNanos() * expectedAnswerTokens(request));
     }
 
--- a/scheduler/src/main/java/org/cowslippick/scheduler/pool/Attempt.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/pool/Attempt.java
@@ -9,7 +9,7 @@
     private final EndpointTracker tracker;
     private final long dispatchedAtNanos;
     private final long promptTokens;
-    private final long promptTokensAhead;
+    private final long predictedFirstTokenNanos;
     private boolean firstTokenSeen;
 
     Attempt(TrackedRequest request, EndpointTracker tracker, long dispatchedAtNanos, long promptTokens) {
@@ -17,7 +17,7 @@
         this.tracker = tracker;
         this.dispatchedAtNanos = dispatchedAtNanos;
         this.promptTokens = promptTokens;
-        this.promptTokensAhead = tracker.pendingPromptTokens();
+        this.predictedFirstTokenNanos = (long) tracker.firstTokenNanos((double) promptTokens);
     }
 
     TrackedRequest request() {
@@ -32,14 +32,14 @@
         return dispatchedAtNanos;
     }
 
-    /** Prompt tokens that the endpoint had to compute for this request. */
+    /** Prompt tokens that the endpoint has to compute for this request. */
     long promptTokens() {
         return promptTokens;
     }
 
-    /** Prompt tokens that the endpoint had to compute up to this request's first token. */
-    long promptTokensToFirstToken() {
-        return promptTokensAhead + promptTokens;
+    /** The time from dispatch to the first token as predicted at dispatch; 0 if nothing was known. */
+    long predictedFirstTokenNanos() {
+        return predictedFirstTokenNanos;
     }
 
     boolean firstTokenSeen() {
--- a/scheduler/src/main/java/org/cowslippick/scheduler/pool/PoolSettings.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/pool/PoolSettings.java
@@ -7,6 +7,7 @@
  * @param starvationWaitNanos how long a lower tier waits without a dispatch before it gets a share of them
  * @param starvationTurn such a tier gets one dispatch in so many
  * @param betweenTokensNanos the time between tokens that endpoints are kept below
+ * @param promptBacklogNanos the prompt work that an engine may have ahead when it gets a further request
  * @param retryShare retries as a share of first attempts
  * @param hedgeShare hedges as a share of first attempts
  */
@@ -15,10 +16,12 @@
         long starvationWaitNanos,
         int starvationTurn,
         long betweenTokensNanos,
+        long promptBacklogNanos,
         double retryShare,
         double hedgeShare) {
 
-    public static final PoolSettings DEFAULT = new PoolSettings(4096, 5_000_000_000L, 32, 58_000_000L, 0.1, 0.02);
+    public static final PoolSettings DEFAULT =
+            new PoolSettings(4096, 5_000_000_000L, 32, 58_000_000L, 50_000_000L, 0.1, 0.02);
 
     public PoolSettings {
         if (queueCapacity < 1 || starvationTurn < 1) {
--- a/scheduler/src/main/java/org/cowslippick/scheduler/pool/TieredPool.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/pool/TieredPool.java
@@ -29,11 +29,13 @@
 
     private final PoolSettings settings;
     private final TieredQueue queue;
-    private final EndpointTable endpoints = new EndpointTable();
+    private final EndpointTable endpoints;
+    private final InFlightTable inFlightTable;
     private final Map<RequestId, TrackedRequest> requests = new HashMap<>();
-    private final DelayedRequests delayed = new DelayedRequests();
+    private final DueSet<TrackedRequest> delayed = new DueSet<>();
     private final Admission admission;
     private final RatioBudget retryBudget;
+    private final RatioBudget hedgeBudget;
     private final RetryRules retryRules;
     private final RetryDelay retryDelay;
 
@@ -41,8 +43,11 @@
     public TieredPool(long seed, PoolSettings settings) {
         this.settings = settings;
         this.queue = new TieredQueue(settings.starvationWaitNanos(), settings.starvationTurn());
+        this.endpoints = new EndpointTable(settings.betweenTokensNanos(), settings.promptBacklogNanos());
+        this.inFlightTable = new InFlightTable(endpoints);
         this.admission = new Admission(queue, endpoints);
         this.retryBudget = new RatioBudget(settings.retryShare(), BUDGET_BALANCE);
+        this.hedgeBudget = new RatioBudget(settings.hedgeShare(), BUDGET_BALANCE);
         this.retryRules = new RetryRules(retryBudget);
         this.retryDelay = new RetryDelay(seed);
     }
@@ -68,9 +73,10 @@
     @Override
     public PoolDecisions withdraw(RequestId id, long nowNanos) {
         queue.remove(id);
-        delayed.remove(id);
-        Optional.ofNullable(requests.remove(id))
-                .ifPresent(request -> ImmutableList.copyOf(request.attempts()).forEach(this::release));
+        Optional.ofNullable(requests.remove(id)).ifPresent(request -> {
+            delayed.remove(request);
+            ImmutableList.copyOf(request.attempts()).forEach(inFlightTable::release);
+        });
         return step(new Decisions(), nowNanos);
     }
 
@@ -91,7 +97,12 @@
                     requests.computeIfAbsent(inFlight.request().id(), _id -> new TrackedRequest(inFlight.request()));
             queue.remove(inFlight.request().id());
             if (request.attemptOn(inFlight.endpoint()).isEmpty()) {
-                start(request, found, inFlight.attempt(), inFlight.dispatchedAtNanos());
+                inFlightTable.start(
+                        request,
+                        found,
+                        inFlight.attempt(),
+                        inFlight.request().promptTokens(),
+                        inFlight.dispatchedAtNanos());
             }
         });
         return step(new Decisions(), nowNanos);
@@ -132,18 +143,49 @@
                 tracker.window(),
                 Duration.ofNanos((long) tracker.firstTokenNanos(0)),
                 Duration.ofNanos((long) tracker.betweenTokensNanos()),
-                EndpointState.HEALTHY);
+                state(tracker));
+    }
+
+    private static EndpointState state(EndpointTracker tracker) {
+        if (tracker.ejected()) {
+            return EndpointState.EJECTED;
+        }
+        return tracker.slow() ? EndpointState.SLOW : EndpointState.HEALTHY;
     }
 
     private PoolDecisions step(Decisions decisions, long nowNanos) {
-        delayed.removeReady(nowNanos).forEach(request -> queue.add(admission.queued(request.descriptor()), nowNanos));
+        delayed.removeDue(nowNanos).forEach(request -> queue.add(admission.queued(request.descriptor()), nowNanos));
         queue.removeExpired(nowNanos)
                 .forEach(expired -> refuse(expired, admission.expired(expired.request(), nowNanos), decisions));
+        inFlightTable.abandoned(nowNanos).forEach(this::end);
+        inFlightTable.overdue(nowNanos).forEach(attempt -> hedge(attempt, decisions, nowNanos));
         dispatch(decisions, nowNanos);
         shedOverflow(decisions);
         return decisions.toPoolDecisions();
     }
 
+    private void end(Attempt attempt) {
+        inFlightTable.release(attempt);
+        if (attempt.request().attempts().isEmpty()) {
+            requests.remove(attempt.request().descriptor().id());
+        }
+    }
+
+    /** Sends an idempotent request whose first token is overdue to a second endpoint, unless a higher tier waits. */
+    private void hedge(Attempt attempt, Decisions decisions, long nowNanos) {
+        TrackedRequest request = attempt.request();
+        RequestDescriptor descriptor = request.descriptor();
+        boolean allowed = descriptor.dispatchRule().retryAfterStart()
+                && request.attempts().size() == 1
+                && !queue.hasHigherThan(descriptor.tier().rank());
+        if (!allowed) {
+            return;
+        }
+        choose(request)
+                .filter(_tracker -> hedgeBudget.tryWithdraw())
+                .ifPresent(tracker -> grant(request, tracker, Grant.Reason.HEDGE, decisions, nowNanos));
+    }
+
     private void dispatch(Decisions decisions, long nowNanos) {
         while (endpoints.hasAvailable()) {
             Optional<QueuedRequest> next = queue.next(nowNanos);
@@ -156,47 +198,55 @@
 
     private void place(QueuedRequest queued, Decisions decisions, long nowNanos) {
         TrackedRequest request = requests.get(queued.request().id());
-        Optional<EndpointTracker> chosen = choose(request);
+        boolean idempotent = queued.request().dispatchRule().retryAfterStart();
+        Optional<EndpointTracker> chosen = endpoints
+                .chooseProbe(idempotent, tracker -> allowed(request, tracker), nowNanos)
+                .or(() -> choose(request));
         if (chosen.isEmpty()) {
             queue.remove(queued.request().id());
-            delayed.add(request, nowNanos + NO_ENDPOINT_DELAY_NANOS);
+            delayed.put(request, nowNanos + NO_ENDPOINT_DELAY_NANOS);
             return;
         }
         queue.take(queued, nowNanos);
         Grant.Reason reason = request.attemptsStarted() == 0 ? Grant.Reason.FIRST : Grant.Reason.RETRY;
         if (reason == Grant.Reason.FIRST) {
             retryBudget.deposit();
+            hedgeBudget.deposit();
         }
+        grant(request, chosen.get(), reason, decisions, nowNanos);
+    }
+
+    private void grant(
+            TrackedRequest request, EndpointTracker tracker, Grant.Reason reason, Decisions decisions, long nowNanos) {
+        RequestDescriptor descriptor = request.descriptor();
         int number = request.attemptsStarted() + 1;
-        start(request, chosen.get(), number, nowNanos);
-        decisions.grant(new Grant(
-                queued.request().id(), queued.request().entry(), chosen.get().name(), number, reason));
+        inFlightTable.start(request, tracker, number, descriptor.promptTokens(), nowNanos);
+        decisions.grant(new Grant(descriptor.id(), descriptor.entry(), tracker.name(), number, reason));
     }
 
     private Optional<EndpointTracker> choose(TrackedRequest request) {
         RequestDescriptor descriptor = request.descriptor();
-        boolean onlyOne = endpoints.members().size() == 1;
         return endpoints.choose(
                 descriptor.promptTokens(),
                 (int) admission.expectedAnswerTokens(descriptor),
-                tracker -> onlyOne || !request.tried(tracker.name()),
+                tracker -> allowed(request, tracker),
                 Stream.empty());
     }
 
-    private void start(TrackedRequest request, EndpointTracker tracker, int number, long dispatchedAtNanos) {
-        Attempt attempt = new Attempt(
-                request, tracker, dispatchedAtNanos, request.descriptor().promptTokens());
-        endpoints.start(tracker, attempt.promptTokens());
-        request.start(attempt, number);
+    private boolean allowed(TrackedRequest request, EndpointTracker tracker) {
+        return endpoints.members().size() == 1 || !request.tried(tracker.name());
     }
 
     private void apply(DispatchReport report, Attempt attempt, Decisions decisions, long nowNanos) {
-        learn(report, attempt);
+        inFlightTable.learn(report, attempt, nowNanos);
+        if (report.phase() == DispatchPhase.FINISHED) {
+            admission.observeAnswer(attempt.request().descriptor(), report.answerTokens());
+        }
         if (!report.phase().ended()) {
             return;
         }
         TrackedRequest request = attempt.request();
-        release(attempt);
+        inFlightTable.release(attempt);
         if (report.phase().fault()) {
             fail(request, report, decisions, nowNanos);
         } else if (request.attempts().isEmpty()) {
@@ -204,21 +254,6 @@
         }
     }
 
-    private void learn(DispatchReport report, Attempt attempt) {
-        if (report.timeToFirstTokenNanos() > 0 && !attempt.firstTokenSeen()) {
-            endpoints.observeFirstToken(
-                    attempt.tracker(), attempt.promptTokensToFirstToken(), report.timeToFirstTokenNanos());
-            attempt.markFirstToken();
-            endpoints.promptDone(attempt.tracker(), attempt.promptTokens());
-        }
-        if (report.phase() == DispatchPhase.FINISHED) {
-            admission.observeAnswer(attempt.request().descriptor(), report.answerTokens());
-        }
-        if (report.betweenTokensNanos() > 0) {
-            endpoints.observeBetweenTokens(attempt.tracker(), report.betweenTokensNanos());
-        }
-    }
-
     private void fail(TrackedRequest request, DispatchReport report, Decisions decisions, long nowNanos) {
         if (report.phase() != DispatchPhase.REFUSED) {
             request.mayHaveRun(RetryRules.kind(report.phase()));
@@ -227,7 +262,7 @@
             return;
         }
         if (retryRules.tryRetry(request, report)) {
-            delayed.add(request, nowNanos + retryDelay.drawNanos(request.attemptsStarted() + 1));
+            delayed.put(request, nowNanos + retryDelay.drawNanos(request.attemptsStarted() + 1));
             return;
         }
         requests.remove(request.descriptor().id());
@@ -236,14 +271,6 @@
         }
     }
 
-    private void release(Attempt attempt) {
-        if (!attempt.firstTokenSeen()) {
-            endpoints.promptDone(attempt.tracker(), attempt.promptTokens());
-        }
-        endpoints.end(attempt.tracker());
-        attempt.request().end(attempt);
-    }
-
     private void shedOverflow(Decisions decisions) {
         while (queue.size() > settings.queueCapacity()) {
             QueuedRequest victim = queue.last().orElseThrow();
--- a/scheduler/src/main/java/org/cowslippick/scheduler/queue/TieredQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/queue/TieredQueue.java
@@ -101,6 +101,11 @@
         return tiers.tailMap(rank, false).values().stream().anyMatch(tier -> tier.size() > 0);
     }
 
+    /** Whether a request of a higher tier than the rank waits. */
+    public boolean hasHigherThan(int rank) {
+        return tiers.headMap(rank, false).values().stream().anyMatch(tier -> tier.size() > 0);
+    }
+
     /** How long the waiting requests of the rank and of higher tiers will occupy endpoints, in total. */
     public long serviceNanosDownTo(int rank) {
         return tiers.headMap(rank, true).values().stream()
--- a/scheduler/src/test/java/org/cowslippick/scheduler/pool/PoolSteps.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/pool/PoolSteps.java
@@ -19,7 +19,8 @@
 
     @Given("a pool of {int} endpoints with {int} slots and a queue of {int}")
     public void pool(int endpoints, int slots, int queue) {
-        PoolSettings settings = new PoolSettings(queue, 5 * Samples.SECOND, 32, 58 * Samples.MILLISECOND, 0.1, 0.02);
+        PoolSettings settings = new PoolSettings(
+                queue, 5 * Samples.SECOND, 32, 58 * Samples.MILLISECOND, 50 * Samples.MILLISECOND, 0.1, 0.02);
         harness = new PoolHarness(SchedulingPolicy.TIERED.create(1, settings), endpoints, slots);
     }
 
--- a/scheduler/src/test/java/org/cowslippick/scheduler/pool/TieredPoolPropertyTest.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/pool/TieredPoolPropertyTest.java
@@ -21,7 +21,8 @@
     private static final int STEPS = 400;
     private static final int ENDPOINTS = 3;
     private static final int CONCURRENCY = 2;
-    private static final PoolSettings SETTINGS = new PoolSettings(8, Samples.SECOND, 8, 58_000_000L, 0.2, 0.1);
+    private static final PoolSettings SETTINGS =
+            new PoolSettings(8, Samples.SECOND, 8, 58_000_000L, 50_000_000L, 0.2, 0.1);
 
     @Property(seed = "1", tries = 150)
     void keepsWhatMustHoldOverRandomHistories(@ForAll long seed) {
--- /dev/null
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/sim/FakeEngine.java
@@ -0,0 +1,110 @@
+package org.cowslippick.scheduler.sim;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * A model engine that batches continuously: each iteration computes one chunk of the oldest prompt and one token of
+ * every running answer. Requests beyond its slots wait inside it, first come first served.
+ */
+final class FakeEngine {
+
+    private static final int CHUNK_TOKENS = 512;
+    private static final int CACHED_PREFIXES = 200;
+    private static final double ITERATION_NANOS = 8e6;
+    private static final double SEQUENCE_NANOS = 0.5e6;
+    private static final double PROMPT_TOKEN_NANOS = 0.04e6;
+
+    private final EventQueue events;
+    private final int slots;
+    private final double speed;
+    private final Deque<Job> waiting = new ArrayDeque<>();
+    private final List<Job> running = new ArrayList<>();
+    private final Deque<Long> cacheOrder = new ArrayDeque<>();
+    private final Set<Long> cache = new HashSet<>();
+    private double slowdown = 1;
+    private boolean busy;
+    private long promptTokensComputed;
+
+    FakeEngine(EventQueue events, int slots, double speed) {
+        this.events = events;
+        this.slots = slots;
+        this.speed = speed;
+    }
+
+    void setSlowdown(double factor) {
+        slowdown = factor;
+    }
+
+    long promptTokensComputed() {
+        return promptTokensComputed;
+    }
+
+    void start(Job job) {
+        waiting.add(job);
+        if (!busy) {
+            iterate();
+        }
+    }
+
+    void cancel(Job job) {
+        waiting.remove(job);
+        running.remove(job);
+    }
+
+    private void iterate() {
+        while (running.size() < slots && !waiting.isEmpty()) {
+            Job job = waiting.poll();
+            job.skipPrompt(cachedTokens(job));
+            running.add(job);
+        }
+        busy = !running.isEmpty();
+        if (!busy) {
+            return;
+        }
+        Optional<Job> prefill = running.stream().filter(Job::needsPrompt).findFirst();
+        List<Job> decoding = running.stream().filter(job -> !job.needsPrompt()).toList();
+        int chunk = prefill.map(job -> Math.min(CHUNK_TOKENS, job.promptLeft())).orElse(0);
+        double nanos = ITERATION_NANOS + SEQUENCE_NANOS * decoding.size() + PROMPT_TOKEN_NANOS * chunk;
+        events.after((long) (nanos * slowdown / speed), () -> finishIteration(prefill, chunk, decoding));
+    }
+
+    private void finishIteration(Optional<Job> prefill, int chunk, List<Job> decoding) {
+        promptTokensComputed += chunk;
+        decoding.stream().filter(running::contains).forEach(this::token);
+        prefill.filter(running::contains).ifPresent(job -> {
+            job.computePrompt(chunk);
+            if (!job.needsPrompt()) {
+                remember(job);
+                token(job);
+            }
+        });
+        iterate();
+    }
+
+    private void token(Job job) {
+        boolean finished = job.token();
+        if (finished) {
+            running.remove(job);
+        }
+    }
+
+    private int cachedTokens(Job job) {
+        long blocks = job.prefixHashes().stream().takeWhile(cache::contains).count();
+        return job.prefixHashes().isEmpty()
+                ? 0
+                : (int) (blocks * job.promptTokens() / job.prefixHashes().size());
+    }
+
+    private void remember(Job job) {
+        job.prefixHashes().stream().filter(cache::add).forEach(cacheOrder::add);
+        while (cache.size() > CACHED_PREFIXES) {
+            cache.remove(cacheOrder.poll());
+        }
+    }
+}
