--- a/cli/src/main/java/org/cowslippick/cli/operator/SettingsCommand.java
+++ b/cli/src/main/java/org/cowslippick/cli/operator/SettingsCommand.java
@@ -15,6 +15,7 @@
 import org.cowslippick.cli.Invocation;
 import org.cowslippick.cli.Report;
 import org.cowslippick.cli.Table;
+import org.cowslippick.core.settings.Limits;
 import org.cowslippick.core.settings.ResolvedSetting;
 import org.cowslippick.core.settings.SectionKind;
 import org.cowslippick.core.settings.SectionName;
@@ -31,7 +32,7 @@
 public final class SettingsCommand implements Command {
 
     private static final String ACTIONS = "get, set, explain, history or apply";
-    private static final ImmutableList<String> EXPLAIN_COLUMNS = ImmutableList.of("key", "value", "origin");
+    private static final ImmutableList<String> EXPLAIN_COLUMNS = ImmutableList.of("key", "value", "origin", "bounds");
     private static final int EXPLAIN_ARGUMENTS = 4;
 
     @Override
@@ -135,19 +136,20 @@
                 new OrganisationName(named.get(0).names().get(0));
         ServiceName service = new ServiceName(named.get(1).names().get(0));
         TierName tier = new TierName(named.get(2).names().get(0));
-        return new Table(
-                EXPLAIN_COLUMNS,
-                Stream.of(SettingKey.values())
-                        .filter(SettingKey::inheritable)
-                        .map(key -> tree.resolve(organisation, service, tier, key))
-                        .<ResolvedSetting>mapMulti(Optional::ifPresent)
-                        .map(SettingsCommand::row)
-                        .collect(ImmutableList.toImmutableList()));
-    }
-
-    private static ImmutableList<String> row(ResolvedSetting setting) {
+        Stream<ImmutableList<String>> inherited = Stream.of(SettingKey.values())
+                .filter(SettingKey::inheritable)
+                .filter(key -> !Limits.KEYS.contains(key))
+                .map(key -> tree.resolve(organisation, service, tier, key))
+                .<ResolvedSetting>mapMulti(Optional::ifPresent)
+                .map(setting -> row(setting, ""));
+        Stream<ImmutableList<String>> limits = tree.limits(organisation, service, tier).stream()
+                .flatMap(scope -> scope.settings().stream().map(setting -> row(setting, "[" + scope.scope() + "]")));
+        return new Table(EXPLAIN_COLUMNS, Stream.concat(inherited, limits).collect(ImmutableList.toImmutableList()));
+    }
+
+    private static ImmutableList<String> row(ResolvedSetting setting, String bounds) {
         String origin = setting.builtIn() ? "(built in)" : "[" + setting.origin() + "]";
-        return ImmutableList.of(setting.key().text(), setting.value(), origin);
+        return ImmutableList.of(setting.key().text(), setting.value(), origin, bounds);
     }
 
     private static Either<CommandFailure, Report> apply(Invocation invocation) {
--- a/core/src/main/java/org/cowslippick/core/settings/Limits.java
+++ b/core/src/main/java/org/cowslippick/core/settings/Limits.java
@@ -1,5 +1,6 @@
 package org.cowslippick.core.settings;
 
+import com.google.common.collect.ImmutableList;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalInt;
@@ -8,22 +9,44 @@
  * The limits of one scope: an organisation, one of its services, or one tier of that service.
  *
  * @param scope the section whose traffic they bound
+ * @param settings the values with the sections that they came from; a key without a value does not limit
  */
-public record Limits(
-        SectionName scope, OptionalDouble requestsPerSecond, OptionalDouble tokensPerSecond, OptionalInt atOnce) {
+public record Limits(SectionName scope, ImmutableList<ResolvedSetting> settings) {
+
+    /** The keys that limit. */
+    public static final ImmutableList<SettingKey> KEYS =
+            ImmutableList.of(SettingKey.REQUESTS_PER_SECOND, SettingKey.TOKENS_PER_SECOND, SettingKey.REQUESTS_AT_ONCE);
+
+    public OptionalDouble requestsPerSecond() {
+        return number(SettingKey.REQUESTS_PER_SECOND);
+    }
+
+    public OptionalDouble tokensPerSecond() {
+        return number(SettingKey.TOKENS_PER_SECOND);
+    }
+
+    /** How many requests may be in flight at once. */
+    public OptionalInt atOnce() {
+        return value(SettingKey.REQUESTS_AT_ONCE)
+                .map(value -> OptionalInt.of(Integer.parseInt(value)))
+                .orElseGet(OptionalInt::empty);
+    }
 
     /** Whether nothing is limited in this scope. */
     public boolean unlimited() {
-        return requestsPerSecond.isEmpty() && tokensPerSecond.isEmpty() && atOnce.isEmpty();
+        return settings.isEmpty();
     }
 
-    static OptionalDouble number(Optional<ResolvedSetting> setting) {
-        return setting.map(found -> OptionalDouble.of(Double.parseDouble(found.value())))
+    private OptionalDouble number(SettingKey key) {
+        return value(key)
+                .map(value -> OptionalDouble.of(Double.parseDouble(value)))
                 .orElseGet(OptionalDouble::empty);
     }
 
-    static OptionalInt count(Optional<ResolvedSetting> setting) {
-        return setting.map(found -> OptionalInt.of(Integer.parseInt(found.value())))
-                .orElseGet(OptionalInt::empty);
+    private Optional<String> value(SettingKey key) {
+        return settings.stream()
+                .filter(setting -> setting.key() == key)
+                .map(ResolvedSetting::value)
+                .findFirst();
     }
 }
--- a/core/src/main/java/org/cowslippick/core/settings/SettingKey.java
+++ b/core/src/main/java/org/cowslippick/core/settings/SettingKey.java
@@ -1,9 +1,11 @@
 package org.cowslippick.core.settings;
 
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Maps;
 import com.google.common.collect.Sets;
 import com.google.errorprone.annotations.Immutable;
-import java.util.Arrays;
 import java.util.Locale;
 import java.util.Optional;
 
@@ -25,30 +27,28 @@
     PARENT(SettingType.NAME, optional(SectionKind.ORGANISATION)),
     CREDENTIAL_SHA256(SettingType.HASHES, optional(SectionKind.ORGANISATION)),
     OPERATOR_CREDENTIAL_SHA256(SettingType.HASHES, optional(SectionKind.DEFAULTS)),
-    TIERS(SettingType.NAMES, inherited()),
+    TIERS(
+            SettingType.NAMES,
+            inheritedExcept(SectionKind.TIER, SectionKind.SERVICE_TIER, SectionKind.ORGANISATION_SERVICE_TIER)),
     FIRST_TOKEN(SettingType.DURATION, inherited()),
     BETWEEN_TOKENS(SettingType.DURATION, inherited()),
     DEADLINE(SettingType.DURATION, inherited()),
     CROSS_REGION(SettingType.FLAG, inherited()),
-    REQUESTS_PER_SECOND(SettingType.POSITIVE_NUMBER, inherited()),
-    TOKENS_PER_SECOND(SettingType.POSITIVE_NUMBER, inherited()),
-    REQUESTS_AT_ONCE(SettingType.POSITIVE_COUNT, inherited());
-
-    private static final ImmutableSet<SectionKind> INHERITING = Sets.immutableEnumSet(
-            SectionKind.DEFAULTS,
-            SectionKind.TIER,
-            SectionKind.SERVICE,
-            SectionKind.SERVICE_TIER,
-            SectionKind.ORGANISATION,
-            SectionKind.ORGANISATION_SERVICE,
-            SectionKind.ORGANISATION_SERVICE_TIER);
+    REQUESTS_PER_SECOND(SettingType.POSITIVE_NUMBER, inheritedExcept(SectionKind.TIER)),
+    TOKENS_PER_SECOND(SettingType.POSITIVE_NUMBER, inheritedExcept(SectionKind.TIER)),
+    REQUESTS_AT_ONCE(SettingType.POSITIVE_COUNT, inheritedExcept(SectionKind.TIER));
+
+    private static final ImmutableMap<String, SettingKey> BY_TEXT =
+            Maps.uniqueIndex(ImmutableList.copyOf(values()), SettingKey::text);
 
     private final SettingType type;
     private final Placement placement;
+    private final String text;
 
     SettingKey(SettingType type, Placement placement) {
         this.type = type;
         this.placement = placement;
+        this.text = name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 
     public SettingType type() {
@@ -57,12 +57,12 @@
 
     /** The key as it is written, such as {@code first-token}. */
     public String text() {
-        return name().toLowerCase(Locale.ROOT).replace('_', '-');
+        return text;
     }
 
     /** Whether a section of this kind may hold the key. */
     public boolean allowedIn(SectionKind kind) {
-        return placement.inherited ? INHERITING.contains(kind) : placement.sections.contains(kind);
+        return placement.sections.contains(kind);
     }
 
     /** Whether a section of this kind must hold the key. */
@@ -77,7 +77,7 @@
 
     /** Finds the key with this text. */
     public static Optional<SettingKey> parse(String text) {
-        return Arrays.stream(values()).filter(key -> key.text().equals(text)).findFirst();
+        return Optional.ofNullable(BY_TEXT.get(text));
     }
 
     private static Placement required(SectionKind... sections) {
@@ -89,9 +89,28 @@
     }
 
     private static Placement inherited() {
-        return new Placement(ImmutableSet.of(), false, true);
+        return new Placement(Placement.INHERITING, false, true);
+    }
+
+    /** Inherited, but not from sections in which nothing looks the key up. */
+    private static Placement inheritedExcept(SectionKind... sections) {
+        return new Placement(
+                Sets.difference(Placement.INHERITING, ImmutableSet.copyOf(sections))
+                        .immutableCopy(),
+                false,
+                true);
     }
 
     @Immutable
-    private record Placement(ImmutableSet<SectionKind> sections, boolean required, boolean inherited) {}
+    private record Placement(ImmutableSet<SectionKind> sections, boolean required, boolean inherited) {
+
+        private static final ImmutableSet<SectionKind> INHERITING = Sets.immutableEnumSet(
+                SectionKind.DEFAULTS,
+                SectionKind.TIER,
+                SectionKind.SERVICE,
+                SectionKind.SERVICE_TIER,
+                SectionKind.ORGANISATION,
+                SectionKind.ORGANISATION_SERVICE,
+                SectionKind.ORGANISATION_SERVICE_TIER);
+    }
 }
--- a/core/src/main/java/org/cowslippick/core/settings/SettingsTree.java
+++ b/core/src/main/java/org/cowslippick/core/settings/SettingsTree.java
@@ -208,9 +208,10 @@
                 Stream.concat(inherited, Stream.of(last)).collect(ImmutableList.toImmutableList());
         return new Limits(
                 scope,
-                Limits.number(firstOf(lookUp, SettingKey.REQUESTS_PER_SECOND)),
-                Limits.number(firstOf(lookUp, SettingKey.TOKENS_PER_SECOND)),
-                Limits.count(firstOf(lookUp, SettingKey.REQUESTS_AT_ONCE)));
+                Limits.KEYS.stream()
+                        .map(key -> firstOf(lookUp, key))
+                        .<ResolvedSetting>mapMulti(Optional::ifPresent)
+                        .collect(ImmutableList.toImmutableList()));
     }
 
     private Optional<ResolvedSetting> firstOf(ImmutableList<SectionName> lookUp, SettingKey key) {
