One end a request and one end an attempt, whichever threads find them

Cause: the failure of a cancelled request was chosen from a state read before the end, so that a grant in between could make 'not run' false; an attempt that ended while its dispatch returned was reported twice to its pool. Change: the failure follows from the state that the atomic end found; an attempt's end is reported by whoever takes it out of the state. Tests play pool, endpoint and time against one request.

--- a/entry/src/main/java/org/cowslippick/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/cowslippick/entry/request/RequestFlow.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
 import java.util.function.UnaryOperator;
 import org.cowslippick.core.error.ErrorKind;
 import org.cowslippick.core.error.Failure;
@@ -57,9 +58,11 @@
 
     /** The caller cancelled or left. */
     public void cancel() {
-        ErrorKind kind =
-                state.get().mayHaveRun() ? ErrorKind.CANCELLED_AFTER_DISPATCH : ErrorKind.CANCELLED_BEFORE_DISPATCH;
-        fail(EventKind.REQUEST_CANCELLED, Failure.of(kind, "the caller cancelled request " + request.id()));
+        fail(
+                EventKind.REQUEST_CANCELLED,
+                before -> Failure.of(
+                        before.mayHaveRun() ? ErrorKind.CANCELLED_AFTER_DISPATCH : ErrorKind.CANCELLED_BEFORE_DISPATCH,
+                        "the caller cancelled request " + request.id()));
     }
 
     @Override
@@ -80,56 +83,70 @@
         AttemptListener heard = new AttemptListener(attempt, parts.timer().nanoTime());
         Dispatch dispatch = parts.endpoints().dispatch(endpoint.get(), request.id(), request.call(), heard);
         dispatches.put(attempt, dispatch);
-        if (state.get().ended()) {
-            cancelAttempt(attempt);
+        if (!state.get().running().contains(attempt)) {
+            dispatches.remove(attempt);
+            dispatch.cancel();
         }
     }
 
     @Override
     public void refused(Failure failure) {
-        RequestState current = state.get();
-        if (current.running().isEmpty()) {
-            fail(EventKind.REQUEST_FAILED, current.started().orElse(failure));
+        if (state.get().running().isEmpty()) {
+            fail(EventKind.REQUEST_FAILED, before -> before.started().orElse(failure));
         }
     }
 
     private void deadlinePassed() {
-        ErrorKind kind = state.get().mayHaveRun()
-                ? ErrorKind.DEADLINE_PASSED_AFTER_DISPATCH
-                : ErrorKind.DEADLINE_PASSED_IN_QUEUE;
-        fail(EventKind.REQUEST_FAILED, Failure.of(kind, "the deadline of request " + request.id() + " passed"));
+        fail(
+                EventKind.REQUEST_FAILED,
+                before -> Failure.of(
+                        before.mayHaveRun()
+                                ? ErrorKind.DEADLINE_PASSED_AFTER_DISPATCH
+                                : ErrorKind.DEADLINE_PASSED_IN_QUEUE,
+                        "the deadline of request " + request.id() + " passed"));
     }
 
-    private void fail(EventKind event, Failure failure) {
-        RequestState before = end();
+    /** Ends the request with the failure that follows from the state which the end found. */
+    private void fail(EventKind event, Function<RequestState, Failure> failureAfter) {
+        RequestState before = end(Optional.empty());
         if (before.ended()) {
             return;
         }
-        record(event, before.winner().map(Attempt::endpoint), failure.kind().text());
-        Receipt receipt = clock.receipt(before.winner().map(Attempt::endpoint), false);
+        Failure failure = failureAfter.apply(before);
+        Optional<EndpointName> endpoint = before.winner().map(Attempt::endpoint);
+        record(event, endpoint, failure.kind().text());
+        Receipt receipt = clock.receipt(endpoint, false);
         parts.outcomes().failed(request, failure, receipt);
         parts.ended(this);
         listener.failed(failure, receipt);
     }
 
-    /** Ends the request, gives up what is queued or runs, and returns the state before. */
-    private RequestState end() {
+    /** Ends the request, gives up what is queued or runs but for the finished attempt, and returns the state before. */
+    private RequestState end(Optional<Attempt> finished) {
         RequestState before = state.getAndUpdate(RequestState::end);
         if (!before.ended()) {
             deadline.get().cancel();
             if (before.running().isEmpty()) {
                 parts.grants().withdraw(request.pool(), request.id());
             }
-            before.running().forEach(this::cancelAttempt);
+            before.running().stream()
+                    .filter(attempt -> !finished.equals(Optional.of(attempt)))
+                    .forEach(this::cancelAttempt);
         }
         return before;
     }
 
     private void cancelAttempt(Attempt attempt) {
-        Optional.ofNullable(dispatches.remove(attempt)).ifPresent(dispatch -> {
-            dispatch.cancel();
-            report(attempt, DispatchPhase.CANCELLED, 0, false);
-        });
+        Optional.ofNullable(dispatches.remove(attempt)).ifPresent(Dispatch::cancel);
+        endAttempt(attempt, DispatchPhase.CANCELLED, 0, false);
+    }
+
+    /** Reports the end of an attempt, once however many threads find it ended. */
+    private void endAttempt(Attempt attempt, DispatchPhase phase, long timeToFirstTokenNanos, boolean retryWanted) {
+        RequestState before = state.getAndUpdate(current -> current.attemptEnded(attempt, Optional.empty()));
+        if (before.running().contains(attempt)) {
+            report(attempt, phase, timeToFirstTokenNanos, retryWanted);
+        }
     }
 
     private void report(Attempt attempt, DispatchPhase phase, long timeToFirstTokenNanos, boolean retryWanted) {
@@ -187,10 +204,10 @@
                 clock.token();
                 timeToFirstTokenNanos = parts.timer().nanoTime() - dispatchedAtNanos;
             }
-            dispatches.remove(attempt);
-            RequestState before = end();
+            RequestState before = end(Optional.of(attempt));
             if (!before.ended()) {
-                report(attempt, DispatchPhase.FINISHED, timeToFirstTokenNanos, false);
+                dispatches.remove(attempt);
+                endAttempt(attempt, DispatchPhase.FINISHED, timeToFirstTokenNanos, false);
                 record(EventKind.REQUEST_ANSWERED, Optional.of(attempt.endpoint()), clock.tokens() + " tokens");
                 Receipt receipt = clock.receipt(Optional.of(attempt.endpoint()), true);
                 parts.outcomes().answered(request, receipt);
@@ -229,25 +246,22 @@
             if (won.wonBy(attempt)) {
                 record(EventKind.REQUEST_FIRST_TOKEN, Optional.of(attempt.endpoint()), "");
                 report(attempt, DispatchPhase.FIRST_TOKEN, timeToFirstTokenNanos, false);
-                won.running().stream().filter(other -> !other.equals(attempt)).forEach(this::giveUp);
+                won.running().stream().filter(other -> !other.equals(attempt)).forEach(RequestFlow.this::cancelAttempt);
             }
         }
 
-        private void giveUp(Attempt loser) {
-            change(current -> current.attemptEnded(loser, Optional.empty()));
-            cancelAttempt(loser);
-        }
-
         private void attemptFailed(DispatchPhase phase, Failure failure, boolean retryAllowed, boolean mayHaveRun) {
-            RequestState before = state.getAndUpdate(
-                    current -> current.attemptEnded(attempt, mayHaveRun ? Optional.of(failure) : Optional.empty()));
+            Optional<Failure> started = mayHaveRun ? Optional.of(failure) : Optional.empty();
+            RequestState before = state.getAndUpdate(current -> current.attemptEnded(attempt, started));
             dispatches.remove(attempt);
-            boolean wasWinner = before.wonBy(attempt);
-            boolean othersRun = before.running().stream().anyMatch(other -> !other.equals(attempt));
-            boolean retry = retryAllowed && !before.ended() && !wasWinner && !othersRun;
+            if (!before.running().contains(attempt)) {
+                return;
+            }
+            boolean othersRun = before.running().size() > 1;
+            boolean retry = retryAllowed && !before.ended() && !before.wonBy(attempt) && !othersRun;
             report(attempt, phase, timeToFirstTokenNanos, retry);
             if (!retry && !othersRun) {
-                fail(EventKind.REQUEST_FAILED, before.started().orElse(failure));
+                fail(EventKind.REQUEST_FAILED, found -> found.started().orElse(failure));
             }
         }
     }
