Claims: at most once by ticket or by conditional write

Cause: nothing kept two attempts with one idempotency key from both being dispatched. Change: fleet.claim with the pure GroupCommit and PartitionState, tickets signed with the cluster's keys, ClaimService; BudgetedPlatform with a call budget, backoff with jitter and one probe.

--- /dev/null
+++ b/fleet/src/main/java/org/cowslippick/fleet/claim/StoredClaim.java
@@ -0,0 +1,16 @@
+package org.cowslippick.fleet.claim;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.cowslippick.core.request.RequestId;
+
+/** A claim as a partition keeps it. */
+public record StoredClaim(RequestId holder, Instant claimedAt) {
+
+    /** How long a claim is kept; a key that comes again later counts as new work. */
+    public static final Duration RETENTION = Duration.ofHours(24);
+
+    boolean expired(Instant now) {
+        return claimedAt.plus(RETENTION).isBefore(now);
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/org/cowslippick/fleet/claim/ClaimServiceTest.java
@@ -0,0 +1,252 @@
+package org.cowslippick.fleet.claim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.cowslippick.core.error.ErrorKind;
+import org.cowslippick.core.request.IdempotencyKey;
+import org.cowslippick.core.request.RequestId;
+import org.cowslippick.core.time.ManualTimerService;
+import org.cowslippick.core.world.Incarnation;
+import org.cowslippick.core.world.InstanceName;
+import org.cowslippick.core.world.OrganisationName;
+import org.cowslippick.fleet.platform.FakePlatform;
+import org.cowslippick.fleet.platform.ObjectKey;
+import org.junit.jupiter.api.Test;
+
+final class ClaimServiceTest {
+
+    private static final OrganisationName PORTALIA = new OrganisationName("portalia");
+    private static final InstanceName OVIEDO = new InstanceName("oviedo-1");
+    private static final InstanceName GIJON = new InstanceName("gijon-1");
+    private static final ClaimResult UNKNOWN = new ClaimResult.AlreadyClaimed(ClaimPhase.UNKNOWN, Optional.empty());
+    private static final ClaimResult GRANTED = new ClaimResult.Granted();
+
+    private final ManualTimerService timer = new ManualTimerService();
+    private final FakePlatform platform = new FakePlatform();
+    private final TicketCodec tickets = new TicketCodec(SigningKeys.of(ImmutableList.of("newest", "older")));
+    private final ClaimService oviedo = service(OVIEDO, 1);
+    private final ClaimService gijon = service(GIJON, 1);
+
+    @Test
+    void onlyOneEntryIsGrantedAKey() {
+        assertEquals(GRANTED, oviedo.claim(keyed("visit", "first")).join());
+        assertEquals(UNKNOWN, gijon.claim(keyed("visit", "second")).join());
+        assertTrue(oviedo.dispatched(new RequestId("first")));
+        assertFalse(oviedo.dispatched(new RequestId("first")));
+        oviedo.finished(new RequestId("first"), Optional.of(new StoredAnswer("application/json", "\"booked\"")));
+        assertEquals(
+                new ClaimResult.AlreadyClaimed(
+                        ClaimPhase.FINISHED, Optional.of(new StoredAnswer("application/json", "\"booked\""))),
+                oviedo.claim(keyed("visit", "third")).join());
+    }
+
+    @Test
+    void aReleasedKeyIsFreeAndItsAttemptIsNotDispatchedAnyMore() {
+        oviedo.claim(keyed("visit", "first")).join();
+        oviedo.released(new RequestId("first"));
+        assertFalse(oviedo.dispatched(new RequestId("first")));
+        assertEquals(GRANTED, gijon.claim(keyed("visit", "second")).join());
+        oviedo.released(new RequestId("first"));
+        assertEquals(UNKNOWN, oviedo.claim(keyed("visit", "third")).join());
+    }
+
+    @Test
+    void aLostAnswerIsReadBack() {
+        platform.loseAnswers(1);
+        assertEquals(GRANTED, oviedo.claim(keyed("visit", "first")).join());
+        assertEquals(UNKNOWN, gijon.claim(keyed("visit", "second")).join());
+    }
+
+    @Test
+    void anOutageRefusesKeysAndLeavesTicketsAlone() {
+        platform.down(true);
+        ClaimResult refused = oviedo.claim(keyed("visit", "first")).join();
+        assertEquals(
+                ErrorKind.CLAIM_UNPROVABLE,
+                assertInstanceOf(ClaimResult.Unprovable.class, refused)
+                        .failure()
+                        .kind());
+        assertFalse(oviedo.dispatched(new RequestId("first")));
+        Ticket ticket = ticket(OVIEDO, 1);
+        assertEquals(GRANTED, oviedo.claim(ticketed("chat", "second", ticket)).join());
+        platform.down(false);
+        assertEquals(GRANTED, oviedo.claim(keyed("visit", "third")).join());
+    }
+
+    @Test
+    void aClaimInDoubtIsFreedWhenThePlatformIsBack() {
+        platform.hold();
+        CompletableFuture<ClaimResult> claim = oviedo.claim(keyed("visit", "first"));
+        platform.releaseNext();
+        platform.loseAnswers(1);
+        platform.releaseNext();
+        platform.down(true);
+        platform.release();
+        assertInstanceOf(ClaimResult.Unprovable.class, claim.join());
+        platform.down(false);
+        assertEquals(UNKNOWN, gijon.claim(keyed("visit", "second")).join());
+        timer.advance(Duration.ofSeconds(5));
+        assertEquals(GRANTED, gijon.claim(keyed("visit", "third")).join());
+    }
+
+    @Test
+    void aPausedEntryDoesNotOverwriteTheNextOne() {
+        platform.hold();
+        CompletableFuture<ClaimResult> paused = oviedo.claim(keyed("visit", "first"));
+        CompletableFuture<ClaimResult> next = gijon.claim(keyed("visit", "second"));
+        platform.release();
+        assertEquals(List.of(GRANTED, UNKNOWN), List.of(paused.join(), next.join()));
+    }
+
+    @Test
+    void manyKeysOfAPartitionAreCommittedInOneWrite() {
+        ImmutableList<String> keys = IntStream.range(0, 100_000)
+                .mapToObj(number -> "key-" + number)
+                .filter(key -> identity(key).partition(PlatformClaims.PARTITIONS) == 0)
+                .limit(500)
+                .collect(ImmutableList.toImmutableList());
+        platform.hold();
+        ImmutableList<CompletableFuture<ClaimResult>> results = keys.stream()
+                .map(key -> oviedo.claim(keyed(key, "attempt-" + key)))
+                .collect(ImmutableList.toImmutableList());
+        platform.release();
+        assertTrue(results.stream().allMatch(result -> result.join().equals(GRANTED)));
+        assertEquals(3, platform.calls());
+    }
+
+    @Test
+    void aFullPartitionRefusesAndOldClaimsMakeRoom() {
+        ObjectKey partition = new ObjectKey(
+                PlatformClaims.KIND, "partition-" + identity("visit").partition(PlatformClaims.PARTITIONS));
+        ImmutableList<ClaimOperation> many = IntStream.range(0, 13_300)
+                .mapToObj(number ->
+                        new ClaimOperation(ClaimOperation.Kind.CLAIM, identity("key-" + number), RequestId.random()))
+                .collect(ImmutableList.toImmutableList());
+        platform.create(
+                        partition,
+                        PartitionCodec.write(
+                                PartitionState.EMPTY.plan(many, timer.now()).next()))
+                .join();
+        assertInstanceOf(
+                ClaimResult.Unprovable.class,
+                oviedo.claim(keyed("visit", "first")).join());
+        timer.advance(StoredClaim.RETENTION.plusSeconds(1));
+        assertEquals(GRANTED, oviedo.claim(keyed("visit", "second")).join());
+    }
+
+    @Test
+    void aClaimIsNotDispatchedLongAfterItWasGranted() {
+        oviedo.claim(keyed("visit", "first")).join();
+        timer.advance(ClaimService.DISPATCH_LIMIT);
+        assertFalse(oviedo.dispatched(new RequestId("first")));
+    }
+
+    @Test
+    void aTicketBindsToOneIncarnation() {
+        Ticket ticket = tickets.read(tickets.write(ticket(OVIEDO, 1))).get();
+        assertEquals(GRANTED, oviedo.claim(ticketed("chat", "first", ticket)).join());
+        assertEquals(
+                new ClaimResult.AlreadyClaimed(ClaimPhase.CLAIMED, Optional.empty()),
+                oviedo.claim(ticketed("chat", "second", ticket)).join());
+        assertEquals(
+                new ClaimResult.HeldElsewhere(OVIEDO),
+                gijon.claim(ticketed("chat", "third", ticket)).join());
+        assertEquals(
+                UNKNOWN,
+                service(OVIEDO, 2).claim(ticketed("chat", "fourth", ticket)).join());
+        ClaimService alone = new ClaimService(GIJON, new Incarnation(1), platform, timer, _entry -> false);
+        assertEquals(UNKNOWN, alone.claim(ticketed("chat", "fifth", ticket)).join());
+    }
+
+    @Test
+    void anExpiredTicketIsRefusedAndForgottenClaimsAreNotDenied() {
+        Ticket ticket = ticket(OVIEDO, 1);
+        oviedo.claim(ticketed("chat", "first", ticket)).join();
+        assertTrue(oviedo.dispatched(new RequestId("first")));
+        timer.advance(Duration.ofMinutes(6));
+        assertInstanceOf(
+                ClaimResult.Unprovable.class,
+                oviedo.claim(ticketed("other", "second", ticket)).join());
+        assertEquals(
+                new ClaimResult.AlreadyClaimed(ClaimPhase.DISPATCHED, Optional.empty()),
+                oviedo.claim(ticketed("chat", "third", ticket)).join());
+        timer.advance(ClaimService.TICKET_GRACE);
+        assertEquals(UNKNOWN, oviedo.claim(ticketed("chat", "fourth", ticket)).join());
+        assertEquals(UNKNOWN, oviedo.claim(ticketed("other", "fifth", ticket)).join());
+    }
+
+    @Test
+    void onlyTheClustersKeysMakeTickets() {
+        Ticket ticket = ticket(OVIEDO, 1);
+        TicketCodec rotated = new TicketCodec(SigningKeys.of(ImmutableList.of("older")));
+        TicketCodec foreign = new TicketCodec(SigningKeys.of(ImmutableList.of("foreign")));
+        assertEquals(ticket, tickets.read(rotated.write(ticket)).get());
+        assertEquals(
+                ErrorKind.ALREADY_DISPATCHED,
+                tickets.read(foreign.write(ticket)).getLeft().kind());
+        assertEquals(
+                ErrorKind.MALFORMED_REQUEST, tickets.read("nonsense").getLeft().kind());
+    }
+
+    /** The naive version: one table that everybody shares and that never fails. */
+    @Property(seed = "1", tries = 200)
+    void agreesWithATableWhileThePlatformAnswers(@ForAll @Size(max = 60) List<@IntRange(max = 23) Integer> steps) {
+        ManualTimerService clock = new ManualTimerService();
+        FakePlatform shared = new FakePlatform();
+        ImmutableList<ClaimService> entries = ImmutableList.of(
+                new ClaimService(OVIEDO, new Incarnation(1), shared, clock, _entry -> true),
+                new ClaimService(GIJON, new Incarnation(1), shared, clock, _entry -> true));
+        Map<String, String> holders = new HashMap<>();
+        for (int index = 0; index < steps.size(); index++) {
+            int step = steps.get(index);
+            ClaimService entry = entries.get(step % 2);
+            String key = "key-" + step / 2 % 3;
+            if (step < 12) {
+                String attempt = step % 2 + "-" + index;
+                boolean granted = entry.claim(keyed(key, attempt)).join().equals(GRANTED);
+                assertEquals(holders.putIfAbsent(key, attempt) == null, granted);
+            } else if (step < 18) {
+                shared.loseAnswers(1);
+            } else if (holders.containsKey(key)) {
+                String holder = holders.remove(key);
+                entries.get(Integer.parseInt(holder.substring(0, 1))).released(new RequestId(holder));
+            }
+        }
+    }
+
+    private ClaimService service(InstanceName entry, long incarnation) {
+        return new ClaimService(entry, new Incarnation(incarnation), platform, timer, _entry -> true);
+    }
+
+    private Ticket ticket(InstanceName entry, long incarnation) {
+        return tickets.issue(
+                entry, new Incarnation(incarnation), PORTALIA, timer.now().plus(Duration.ofMinutes(5)));
+    }
+
+    private static ClaimIdentity identity(String key) {
+        return ClaimIdentity.of(new IdempotencyKey(PORTALIA, key));
+    }
+
+    private static ClaimRequest keyed(String key, String attempt) {
+        return new ClaimRequest(new IdempotencyKey(PORTALIA, key), new RequestId(attempt), Optional.empty());
+    }
+
+    private static ClaimRequest ticketed(String key, String attempt, Ticket ticket) {
+        return new ClaimRequest(new IdempotencyKey(PORTALIA, key), new RequestId(attempt), Optional.of(ticket));
+    }
+}
--- /dev/null
+++ b/fleet/src/test/java/org/cowslippick/fleet/platform/BudgetedPlatformTest.java
@@ -0,0 +1,78 @@
+package org.cowslippick.fleet.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import io.vavr.control.Either;
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.cowslippick.core.time.ManualTimerService;
+import org.junit.jupiter.api.Test;
+
+final class BudgetedPlatformTest {
+
+    private static final ObjectKey KEY = new ObjectKey("kind", "name");
+
+    private final ManualTimerService timer = new ManualTimerService();
+    private final FakePlatform fake = new FakePlatform();
+
+    @Test
+    void spreadsCallsOverTheBudget() {
+        BudgetedPlatform platform = budgeted(1);
+        ImmutableList<CompletableFuture<Either<PlatformFault, StoredObject>>> answers =
+                IntStream.range(0, 30).mapToObj(_call -> platform.get(KEY)).collect(ImmutableList.toImmutableList());
+        assertEquals(6, fake.calls());
+        timer.advance(Duration.ofMillis(500));
+        assertEquals(11, fake.calls());
+        timer.advance(Duration.ofSeconds(5));
+        assertEquals(16, fake.calls());
+        assertEquals(
+                14,
+                answers.stream()
+                        .filter(answer -> answer.join().equals(Either.left(PlatformFault.UNAVAILABLE)))
+                        .count());
+    }
+
+    @Test
+    void anOutageCostsFewCallsAndItsEndIsProbedByOne() {
+        BudgetedPlatform platform = budgeted(1);
+        fake.down(true);
+        IntStream.range(0, 6_000).forEach(_tick -> {
+            timer.advance(Duration.ofMillis(100));
+            platform.get(KEY).join();
+        });
+        assertTrue(fake.calls() < 120, "calls in ten minutes: " + fake.calls());
+        timer.advance(Duration.ofSeconds(10));
+        fake.hold();
+        int before = fake.calls();
+        IntStream.range(0, 20).forEach(_call -> assertTrue(platform.get(KEY) != null));
+        assertEquals(before + 1, fake.calls());
+        fake.down(false);
+        fake.release();
+        timer.advance(Duration.ofSeconds(1));
+        assertEquals(Either.left(PlatformFault.NOT_FOUND), platform.get(KEY).join());
+    }
+
+    @Test
+    void processesProbeAtDifferentTimes() {
+        fake.down(true);
+        long distinct = IntStream.range(0, 50)
+                .mapToLong(seed -> {
+                    CallGate gate = new CallGate(10, 5, 0, new SplittableRandom(seed));
+                    IntStream.range(0, 8)
+                            .forEach(second ->
+                                    gate.failed(Duration.ofSeconds(30L * second).toNanos()));
+                    return gate.closedFor(Duration.ofSeconds(210).toNanos()).toMillis();
+                })
+                .distinct()
+                .count();
+        assertTrue(distinct > 40, "distinct probe times: " + distinct);
+    }
+
+    private BudgetedPlatform budgeted(long seed) {
+        return new BudgetedPlatform(fake, timer, 10, 5, new SplittableRandom(seed));
+    }
+}
--- a/fleet/src/test/java/org/cowslippick/fleet/platform/FakePlatform.java
+++ b/fleet/src/test/java/org/cowslippick/fleet/platform/FakePlatform.java
@@ -48,6 +48,15 @@
         takeHeld().forEach(Runnable::run);
     }
 
+    /** Carries out the first held call only. */
+    public void releaseNext() {
+        Runnable first;
+        synchronized (this) {
+            first = held.remove(0);
+        }
+        first.run();
+    }
+
     /** How many calls came in, each watch counting as one. */
     public synchronized int calls() {
         return calls;
