Benches of relay, tiers, crest, stragglers, prefill and limits; streamed answers are sent

Cause: nothing measured the policy, and every streamed answer failed with status 500: its publisher subscribed after Ratpack had taken the response as not sent. Change: subcommand bench with a seeded open-loop trace over a dozen stand-in engines under both policies; AnswerPublisher subscribes at once; the stand-in engine counts only computed tokens as wasted and computes prompts in chunks of 512 tokens.

--- a/entry/src/main/java/org/cowslippick/entry/door/AnswerPublisher.java
+++ b/entry/src/main/java/org/cowslippick/entry/door/AnswerPublisher.java
@@ -49,13 +49,12 @@
         });
     }
 
+    /** Subscribes at once, since Ratpack takes a response that has no subscription as not sent. */
     @Override
     public void subscribe(Subscriber<? super ByteBuf> newSubscriber) {
-        eventLoop.execute(() -> {
-            subscriber = newSubscriber;
-            newSubscriber.onSubscribe(this);
-            drain();
-        });
+        subscriber = newSubscriber;
+        newSubscriber.onSubscribe(this);
+        drain();
     }
 
     @Override
--- a/standin/src/main/java/org/cowslippick/standin/StandinCommand.java
+++ b/standin/src/main/java/org/cowslippick/standin/StandinCommand.java
@@ -1,29 +1,36 @@
 package org.cowslippick.standin;
 
-import joptsimple.OptionParser;
-import joptsimple.OptionSet;
-import org.cowslippick.standin.demo.DemoCommand;
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import org.cowslippick.standin.bench.BenchCommand;
+import org.cowslippick.standin.demo.DemoSubcommand;
 
 /** The command line of the demo and the benches. */
 public final class StandinCommand {
 
-    private static final int EXIT_WRONG_ANSWER = 1;
     private static final int EXIT_USAGE = 2;
 
     private StandinCommand() {}
 
-    /** Runs the demo. */
-    public static void main(String[] arguments) throws Exception {
-        OptionParser parser = new OptionParser();
-        parser.accepts("once", "exit after the three answers");
-        parser.accepts("help", "show this help").forHelp();
-        OptionSet options = parser.parse(arguments);
-        if (options.has("help") || !options.nonOptionArguments().contains("demo")) {
-            System.err.println("usage: cowslippick demo [--once]");
-            parser.printHelpOn(System.err);
-            System.exit(options.has("help") ? 0 : EXIT_USAGE);
-        }
-        boolean right = new DemoCommand(System.out).run(options.has("once"));
-        System.exit(right ? 0 : EXIT_WRONG_ANSWER);
+    /** Runs the subcommand that the first argument names. */
+    public static void main(String[] arguments) throws IOException, InterruptedException {
+        System.exit(run(List.copyOf(Arrays.asList(arguments))));
+    }
+
+    private static int run(List<String> arguments) throws IOException, InterruptedException {
+        String subcommand = arguments.stream().findFirst().orElse("");
+        List<String> rest = arguments.stream().skip(1).toList();
+        return switch (subcommand) {
+            case "demo" -> new DemoSubcommand(System.out, System.err).run(rest);
+            case "bench" -> new BenchCommand(System.out, System.err).run(rest);
+            default -> usage();
+        };
+    }
+
+    private static int usage() {
+        System.err.println("usage: cowslippick demo [--once]");
+        System.err.println("       cowslippick bench NAME [--seconds N] [--seed S] [--json]");
+        return EXIT_USAGE;
     }
 }
--- /dev/null
+++ b/standin/src/main/java/org/cowslippick/standin/bench/BenchSite.java
@@ -0,0 +1,105 @@
+package org.cowslippick.standin.bench;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.net.HostAndPort;
+import java.util.OptionalDouble;
+import java.util.stream.IntStream;
+import org.cowslippick.core.settings.EntrySettings;
+import org.cowslippick.core.settings.SettingsTree;
+import org.cowslippick.core.time.SystemTimerService;
+import org.cowslippick.entry.daemon.Entry;
+import org.cowslippick.scheduler.pool.PoolSettings;
+import org.cowslippick.scheduler.pool.SchedulingPolicy;
+import org.cowslippick.standin.engine.EngineCounters;
+import org.cowslippick.standin.engine.EngineFaults;
+import org.cowslippick.standin.engine.EngineSpeed;
+import org.cowslippick.standin.engine.StandinModelEngine;
+
+/** Stand-in engines and real entries on loopback that schedule by one policy. */
+final class BenchSite implements AutoCloseable {
+
+    private final SystemTimerService timer;
+    private final ImmutableList<StandinModelEngine> engines;
+    private final ShedInversions inversions = new ShedInversions();
+    private final ImmutableList<Entry> entries;
+
+    /**
+     * What to start.
+     *
+     * @param requestsPerSecond the limit of each organisation
+     */
+    record Plan(
+            SchedulingPolicy policy,
+            int entries,
+            ImmutableList<EngineSpeed> engines,
+            ImmutableList<OptionalDouble> requestsPerSecond,
+            long seed) {
+
+        private static final int ORGANISATIONS = 5;
+
+        /** One entry before the dozen engines of the benches, without limits. */
+        static Plan of(SchedulingPolicy policy, long seed) {
+            return new Plan(policy, 1, BenchEngines.speeds(), unlimited(), seed);
+        }
+
+        static ImmutableList<OptionalDouble> unlimited() {
+            return IntStream.range(0, ORGANISATIONS)
+                    .mapToObj(_number -> OptionalDouble.empty())
+                    .collect(ImmutableList.toImmutableList());
+        }
+    }
+
+    BenchSite(Plan plan) {
+        this.timer = new SystemTimerService(failure -> {
+            throw new IllegalStateException("a stand-in failed", failure);
+        });
+        this.engines = IntStream.range(0, plan.engines().size())
+                .mapToObj(number -> new StandinModelEngine(
+                        "engine-" + number, plan.engines().get(number), timer))
+                .collect(ImmutableList.toImmutableList());
+        SettingsTree tree = BenchSettings.tree(engineAddresses(), plan.requestsPerSecond());
+        this.entries = IntStream.range(0, plan.entries())
+                .mapToObj(number -> entry(number, plan, tree))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    ImmutableList<HostAndPort> entryAddresses() {
+        return entries.stream().map(Entry::address).collect(ImmutableList.toImmutableList());
+    }
+
+    ImmutableList<HostAndPort> engineAddresses() {
+        return engines.stream().map(StandinModelEngine::address).collect(ImmutableList.toImmutableList());
+    }
+
+    void slowDown(int engine, double factor) {
+        engines.get(engine).faults(EngineFaults.slower(factor));
+    }
+
+    ShedInversions inversions() {
+        return inversions;
+    }
+
+    ImmutableList<EngineCounters> counters() {
+        return engines.stream().map(StandinModelEngine::counters).collect(ImmutableList.toImmutableList());
+    }
+
+    @Override
+    public void close() {
+        entries.forEach(Entry::close);
+        engines.forEach(StandinModelEngine::close);
+        timer.close();
+    }
+
+    private Entry entry(int number, Plan plan, SettingsTree tree) {
+        String ini = "[entry]\nname = entry-" + number + "\nfailure-domain = " + BenchSettings.FAILURE_DOMAIN
+                + "\nregion = " + BenchSettings.REGION
+                + "\ncaller-address = 127.0.0.1:0\npeer-address = 127.0.0.1:0\n"
+                + "[platform]\naddress = 127.0.0.1:1\n[peers]\nkeys = bench-peer-key-of-32-characters-00\n";
+        EntrySettings settings =
+                EntrySettings.parse(ini).getOrElseThrow(faults -> new IllegalStateException(faults.toString()));
+        return new Entry(
+                settings,
+                () -> tree,
+                _pool -> inversions.watch(plan.policy().create(plan.seed(), PoolSettings.DEFAULT)));
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/cowslippick/standin/bench/BenchTier.java
@@ -0,0 +1,50 @@
+package org.cowslippick.standin.bench;
+
+import java.time.Duration;
+import java.util.Locale;
+
+/** The tiers of the benches, best first, with what their contracts promise. */
+enum BenchTier {
+    URGENT(0, 8, Duration.ofMillis(530), Duration.ofMillis(58), Duration.ofSeconds(8)),
+    STANDARD(1, 2, Duration.ofSeconds(2), Duration.ofMillis(80), Duration.ofSeconds(9)),
+    BATCH(2, 1, Duration.ofSeconds(6), Duration.ofMillis(120), Duration.ofSeconds(10));
+
+    private final int rank;
+    private final int weight;
+    private final Duration firstToken;
+    private final Duration betweenTokens;
+    private final Duration deadline;
+
+    BenchTier(int rank, int weight, Duration firstToken, Duration betweenTokens, Duration deadline) {
+        this.rank = rank;
+        this.weight = weight;
+        this.firstToken = firstToken;
+        this.betweenTokens = betweenTokens;
+        this.deadline = deadline;
+    }
+
+    int rank() {
+        return rank;
+    }
+
+    int weight() {
+        return weight;
+    }
+
+    Duration firstToken() {
+        return firstToken;
+    }
+
+    Duration betweenTokens() {
+        return betweenTokens;
+    }
+
+    Duration deadline() {
+        return deadline;
+    }
+
+    /** The tier's name in the settings. */
+    String text() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/cowslippick/standin/bench/Comparison.java
@@ -0,0 +1,132 @@
+package org.cowslippick.standin.bench;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSortedMap;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
+import java.util.function.ToLongFunction;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.cowslippick.scheduler.pool.SchedulingPolicy;
+
+/** The same trace under the policy of cowslippick and under the naive one. */
+record Comparison(Trace trace, PolicyRun cowslippick, PolicyRun naive) {
+
+    private static final double NANOS_PER_MILLISECOND = 1e6;
+    private static final double P50 = 50;
+    private static final double P99 = 99;
+
+    /** Runs both, one after the other, each on a site of its own. */
+    static Comparison run(Trace trace, Duration drain, long seed) {
+        return new Comparison(
+                trace,
+                run(trace, drain, BenchSite.Plan.of(SchedulingPolicy.TIERED, seed)),
+                run(trace, drain, BenchSite.Plan.of(SchedulingPolicy.LEAST_REQUEST, seed)));
+    }
+
+    static PolicyRun run(Trace trace, Duration drain, BenchSite.Plan plan) {
+        try (BenchSite site = new BenchSite(plan)) {
+            return new OpenLoop(site, drain).run(trace);
+        }
+    }
+
+    BenchReport.Row row(String measure, String unit, ToDoubleFunction<PolicyRun> value, Target target) {
+        return BenchReport.Row.of(measure, unit, value.applyAsDouble(cowslippick), value.applyAsDouble(naive), target);
+    }
+
+    BenchReport report(String bench, BenchOptions options, ImmutableList<BenchReport.Row> rows) {
+        return new BenchReport(
+                bench,
+                options.seed(),
+                trace.length().toMillis() / 1000.0,
+                trace.requests().size(),
+                rows,
+                tiers(),
+                diagnostics());
+    }
+
+    private ImmutableList<BenchReport.TierRow> tiers() {
+        return Stream.concat(tiers("cowslippick", cowslippick), tiers("naive", naive))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private static Stream<BenchReport.TierRow> tiers(String policy, PolicyRun run) {
+        return Arrays.stream(BenchTier.values()).map(tier -> tier(policy, tier, run));
+    }
+
+    private static BenchReport.TierRow tier(String policy, BenchTier tier, PolicyRun run) {
+        ImmutableList<CallOutcome> outcomes = run.outcomes().stream()
+                .filter(outcome -> outcome.request().tier() == tier)
+                .collect(ImmutableList.toImmutableList());
+        return new BenchReport.TierRow(
+                policy,
+                tier.text(),
+                outcomes.size(),
+                outcomes.stream().filter(CallOutcome::onTime).count(),
+                outcomes.stream()
+                        .filter(outcome -> outcome.error().isEmpty() && !outcome.onTime())
+                        .count(),
+                outcomes.stream()
+                        .flatMap(outcome -> outcome.error().stream())
+                        .collect(Collectors.collectingAndThen(
+                                Collectors.groupingBy(kind -> kind, Collectors.counting()),
+                                counts -> ImmutableSortedMap.copyOf(counts, Comparator.naturalOrder()))));
+    }
+
+    private ImmutableList<BenchReport.Diagnostic> diagnostics() {
+        return ImmutableList.of(
+                diagnostic("engine_capacity_requests_per_second", "1/s", _run -> capacity()),
+                diagnostic("processor_share", "share", PolicyRun::processorShare),
+                diagnostic("send_lateness_p99", "ms", run -> milliseconds(run, CallOutcome::lateNanos, P99)),
+                diagnostic("urgent_first_token_p50", "ms", run -> urgentFirstToken(run, P50)),
+                diagnostic("urgent_first_token_p99", "ms", run -> urgentFirstToken(run, P99)),
+                diagnostic("urgent_late_first_token", "requests", run -> lateUrgent(run, Comparison::firstTokenLate)),
+                diagnostic("urgent_late_between_tokens", "requests", run -> lateUrgent(run, Comparison::tokensSlow)),
+                diagnostic("urgent_late_deadline", "requests", run -> lateUrgent(run, Comparison::deadlineLate)),
+                diagnostic("expired_inversions", "requests", PolicyRun::expiredInversions),
+                diagnostic("wasted_prefill_share", "share", PolicyRun::wastedPrefillShare));
+    }
+
+    private double capacity() {
+        return BenchEngines.capacityRequestsPerSecond(trace.meanPromptTokens(), trace.meanAnswerTokens());
+    }
+
+    private BenchReport.Diagnostic diagnostic(String name, String unit, ToDoubleFunction<PolicyRun> value) {
+        return new BenchReport.Diagnostic(name, unit, value.applyAsDouble(cowslippick), value.applyAsDouble(naive));
+    }
+
+    private static double urgentFirstToken(PolicyRun run, double percentile) {
+        return run.histogram(
+                                outcome -> outcome.request().tier() == BenchTier.URGENT && outcome.tokens() > 0,
+                                CallOutcome::firstTokenNanos)
+                        .getValueAtPercentile(percentile)
+                / NANOS_PER_MILLISECOND;
+    }
+
+    private static double milliseconds(PolicyRun run, ToLongFunction<CallOutcome> nanos, double percentile) {
+        return run.histogram(_outcome -> true, nanos).getValueAtPercentile(percentile) / NANOS_PER_MILLISECOND;
+    }
+
+    private static double lateUrgent(PolicyRun run, Predicate<CallOutcome> late) {
+        return run.outcomes().stream()
+                .filter(outcome -> outcome.request().tier() == BenchTier.URGENT && outcome.whole())
+                .filter(late)
+                .count();
+    }
+
+    private static boolean firstTokenLate(CallOutcome outcome) {
+        return outcome.firstTokenNanos() > outcome.request().tier().firstToken().toNanos();
+    }
+
+    private static boolean tokensSlow(CallOutcome outcome) {
+        return outcome.betweenTokensNanos()
+                > outcome.request().tier().betweenTokens().toNanos();
+    }
+
+    private static boolean deadlineLate(CallOutcome outcome) {
+        return outcome.lastTokenNanos() > outcome.request().tier().deadline().toNanos();
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/cowslippick/standin/bench/ReportTable.java
@@ -0,0 +1,73 @@
+package org.cowslippick.standin.bench;
+
+import java.util.Locale;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** A report as a table for people. */
+final class ReportTable {
+
+    private static final double LATE_SENDING_MILLISECONDS = 20;
+
+    private ReportTable() {}
+
+    static String text(BenchReport report) {
+        Stream<String> head = Stream.of(
+                String.format(
+                        Locale.ROOT,
+                        "%s: seed %d, %.1f s, %d requests",
+                        report.bench(),
+                        report.seed(),
+                        report.seconds(),
+                        report.requests()),
+                String.format("%-40s %12s %12s %9s  %s", "measure", "cowslippick", "naive", "ratio", "target"));
+        Stream<String> body = Stream.of(
+                        report.rows().stream().map(ReportTable::row),
+                        report.tiers().stream().map(ReportTable::tier),
+                        report.diagnostics().stream().map(ReportTable::diagnostic),
+                        warnings(report))
+                .flatMap(lines -> lines);
+        return Stream.concat(head, body).collect(Collectors.joining(System.lineSeparator()));
+    }
+
+    private static String row(BenchReport.Row row) {
+        return String.format(
+                Locale.ROOT,
+                "%-40s %12.4f %12.4f %9.3f  %s %s",
+                row.measure() + " (" + row.unit() + ")",
+                row.cowslippick(),
+                row.naive(),
+                row.ratio() == null ? Double.NaN : row.ratio(),
+                row.target(),
+                row.met() ? "met" : "MISSED");
+    }
+
+    private static String tier(BenchReport.TierRow tier) {
+        return String.format(
+                Locale.ROOT,
+                "%-12s %-9s offered %5d, on time %5d, late %5d, refused %s",
+                tier.policy(),
+                tier.tier(),
+                tier.offered(),
+                tier.onTime(),
+                tier.late(),
+                tier.refused());
+    }
+
+    private static String diagnostic(BenchReport.Diagnostic diagnostic) {
+        return String.format(
+                Locale.ROOT,
+                "%-40s %12.4f %12.4f",
+                diagnostic.name() + " (" + diagnostic.unit() + ")",
+                diagnostic.cowslippick(),
+                diagnostic.naive());
+    }
+
+    private static Stream<String> warnings(BenchReport report) {
+        return report.diagnostics().stream()
+                .filter(diagnostic -> diagnostic.name().equals("send_lateness_p99"))
+                .filter(diagnostic ->
+                        Math.max(diagnostic.cowslippick(), diagnostic.naive()) > LATE_SENDING_MILLISECONDS)
+                .map(_diagnostic -> "WARNING: the load generator sent late; the machine may be saturated");
+    }
+}
--- /dev/null
+++ b/standin/src/main/java/org/cowslippick/standin/bench/Target.java
@@ -0,0 +1,55 @@
+package org.cowslippick.standin.bench;
+
+/** A bound of a measure. */
+record Target(Bound bound, double value) {
+
+    /** How the value bounds the measure. */
+    enum Bound {
+        AT_LEAST(">= ") {
+            @Override
+            boolean met(double value, double cowslippick, double _naive) {
+                return cowslippick >= value;
+            }
+        },
+        AT_MOST("<= ") {
+            @Override
+            boolean met(double value, double cowslippick, double _naive) {
+                return cowslippick <= value;
+            }
+        },
+        RATIO_AT_LEAST("ratio >= ") {
+            @Override
+            boolean met(double value, double cowslippick, double naive) {
+                return cowslippick > 0 && cowslippick >= value * naive;
+            }
+        };
+
+        private final String text;
+
+        Bound(String text) {
+            this.text = text;
+        }
+
+        abstract boolean met(double value, double cowslippick, double naive);
+    }
+
+    static Target atLeast(double value) {
+        return new Target(Bound.AT_LEAST, value);
+    }
+
+    static Target atMost(double value) {
+        return new Target(Bound.AT_MOST, value);
+    }
+
+    static Target ratioAtLeast(double value) {
+        return new Target(Bound.RATIO_AT_LEAST, value);
+    }
+
+    String text() {
+        return bound.text + value;
+    }
+
+    boolean met(double cowslippick, double naive) {
+        return bound.met(value, cowslippick, naive);
+    }
+}
--- a/standin/src/main/java/org/cowslippick/standin/engine/ContinuousBatch.java
+++ b/standin/src/main/java/org/cowslippick/standin/engine/ContinuousBatch.java
@@ -16,7 +16,7 @@
  */
 final class ContinuousBatch {
 
-    private static final int PREFILL_CHUNK_TOKENS = 2048;
+    private static final int PREFILL_CHUNK_TOKENS = 512;
     private static final int TOKENS_PER_BLOCK = 64;
     private static final int FINISHED_KEPT = 2000;
     private static final double NANOS_PER_SECOND = 1e9;
@@ -61,7 +61,7 @@
         waiting.remove(sequence);
         running.remove(sequence);
         if (inside) {
-            wastedPrefillTokens += sequence.promptTokens() - sequence.prefillLeft();
+            wastedPrefillTokens += sequence.prefillComputed();
         }
         return inside;
     }
--- a/standin/src/main/java/org/cowslippick/standin/engine/Sequence.java
+++ b/standin/src/main/java/org/cowslippick/standin/engine/Sequence.java
@@ -10,17 +10,16 @@
 
     private final String id;
     private final ImmutableList<Long> prefixHashes;
-    private final int promptTokens;
     private final int answerTokens;
     private final List<String> tokens = new ArrayList<>();
     private Consumer<Integer> reader = _ignored -> {};
     private int prefillLeft;
+    private int prefillComputed;
     private boolean finished;
 
     Sequence(String id, ImmutableList<Long> prefixHashes, int promptTokens, int answerTokens) {
         this.id = id;
         this.prefixHashes = prefixHashes;
-        this.promptTokens = promptTokens;
         this.answerTokens = answerTokens;
         this.prefillLeft = promptTokens;
     }
@@ -33,16 +32,18 @@
         return prefixHashes;
     }
 
-    int promptTokens() {
-        return promptTokens;
-    }
-
     int prefillLeft() {
         return prefillLeft;
     }
 
     void prefill(int computed) {
         prefillLeft -= computed;
+        prefillComputed += computed;
+    }
+
+    /** Prompt tokens that were computed for this request, without those found in the cache. */
+    int prefillComputed() {
+        return prefillComputed;
     }
 
     void skipPrefill(int cached) {
