--- a/core/src/main/java/org/cowslippick/core/settings/SectionKind.java
+++ b/core/src/main/java/org/cowslippick/core/settings/SectionKind.java
@@ -1,7 +1,8 @@
 package org.cowslippick.core.settings;
 
 import com.google.common.collect.ImmutableList;
-import java.util.Arrays;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Maps;
 import java.util.Optional;
 
 /** The kinds of sections in the settings tree, each written as alternating words and names. */
@@ -17,6 +18,9 @@
     ORGANISATION_SERVICE("organisation", "service"),
     ORGANISATION_SERVICE_TIER("organisation", "service", "tier");
 
+    private static final ImmutableMap<ImmutableList<String>, SectionKind> BY_WORDS =
+            Maps.uniqueIndex(ImmutableList.copyOf(values()), SectionKind::words);
+
     private final ImmutableList<String> words;
 
     SectionKind(String... words) {
@@ -34,6 +38,11 @@
     }
 
     static Optional<SectionKind> ofWords(ImmutableList<String> words) {
-        return Arrays.stream(values()).filter(kind -> kind.words.equals(words)).findFirst();
+        return Optional.ofNullable(BY_WORDS.get(words));
+    }
+
+    /** The kind whose header is this one word and a name. */
+    static SectionKind ofWord(String word) {
+        return ofWords(ImmutableList.of(word)).orElseThrow();
     }
 }
--- a/core/src/main/java/org/cowslippick/core/settings/SectionName.java
+++ b/core/src/main/java/org/cowslippick/core/settings/SectionName.java
@@ -1,9 +1,7 @@
 package org.cowslippick.core.settings;
 
 import com.google.common.base.Splitter;
-import com.google.common.collect.Comparators;
 import com.google.common.collect.ImmutableList;
-import java.util.Comparator;
 import java.util.Optional;
 import java.util.stream.IntStream;
 import org.cowslippick.core.world.EndpointName;
@@ -17,8 +15,6 @@
     public static final SectionName DEFAULTS = new SectionName(SectionKind.DEFAULTS, ImmutableList.of());
 
     private static final Splitter SPACES = Splitter.on(' ').omitEmptyStrings().trimResults();
-    private static final Comparator<SectionName> ORDER = Comparator.comparing(SectionName::kind)
-            .thenComparing(SectionName::names, Comparators.lexicographical(Comparator.<String>naturalOrder()));
 
     public SectionName {
         if (names.size() != kind.nameCount()) {
@@ -73,6 +69,16 @@
                 .map(kind -> new SectionName(kind, names));
     }
 
+    /** The sections that must exist for this one: those of the service and organisation that it names, and so on. */
+    ImmutableList<SectionName> referenced() {
+        return kind.nameCount() < 2 || kind == SectionKind.LINK
+                ? ImmutableList.of()
+                : IntStream.range(0, names.size())
+                        .mapToObj(index -> new SectionName(
+                                SectionKind.ofWord(kind.words().get(index)), ImmutableList.of(names.get(index))))
+                        .collect(ImmutableList.toImmutableList());
+    }
+
     /** Whether this is the other section or one that refines it, such as a service of an organisation. */
     public boolean within(SectionName other) {
         return kind.words().size() >= other.kind.words().size()
@@ -93,7 +99,17 @@
 
     @Override
     public int compareTo(SectionName other) {
-        return ORDER.compare(this, other);
+        int byKind = kind.compareTo(other.kind);
+        if (byKind != 0) {
+            return byKind;
+        }
+        for (int index = 0; index < names.size(); index++) {
+            int byName = names.get(index).compareTo(other.names.get(index));
+            if (byName != 0) {
+                return byName;
+            }
+        }
+        return 0;
     }
 
     private static ImmutableList<String> everySecond(ImmutableList<String> parts, int first) {
--- a/core/src/main/java/org/cowslippick/core/settings/SettingsCheck.java
+++ b/core/src/main/java/org/cowslippick/core/settings/SettingsCheck.java
@@ -1,15 +1,13 @@
 package org.cowslippick.core.settings;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.ImmutableSetMultimap;
 import java.util.Collection;
-import java.util.HashSet;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Function;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
+import org.cowslippick.core.world.OrganisationName;
 
 /** Checks what one section says against the others: that all names exist and that nothing contradicts. */
 final class SettingsCheck {
@@ -20,7 +18,7 @@
         return Stream.of(
                         document.sections().values().stream().flatMap(section -> references(document, section)),
                         document.sections().values().stream().flatMap(section -> requiredKeys(section)),
-                        parentCycles(document),
+                        parents(document),
                         sharedCredentials(document),
                         sharedRanks(document))
                 .flatMap(faults -> faults)
@@ -46,16 +44,10 @@
 
     /** A section about an organisation's service needs the section of the organisation and that of the service. */
     private static Stream<SettingsFault> nameReferences(SettingsDocument document, SettingsSection section) {
-        SectionName name = section.name();
-        if (name.kind() == SectionKind.LINK || name.kind().nameCount() < 2) {
-            return Stream.empty();
-        }
-        return IntStream.range(0, name.names().size())
-                .mapToObj(index -> SectionName.parse(name.kind().words().get(index) + " "
-                                + name.names().get(index))
-                        .orElseThrow())
+        return section.name().referenced().stream()
                 .filter(referenced -> document.section(referenced).isEmpty())
-                .map(referenced -> new SettingsFault(name.toString(), "", 0, "there is no [" + referenced + "]"));
+                .map(referenced ->
+                        new SettingsFault(section.name().toString(), "", 0, "there is no [" + referenced + "]"));
     }
 
     private static Stream<SettingsFault> keyReference(
@@ -67,26 +59,25 @@
                 .map(referenced -> fault(section, key, "there is no [" + referenced + "]"));
     }
 
-    private static Stream<SettingsFault> parentCycles(SettingsDocument document) {
+    private static Stream<SettingsFault> parents(SettingsDocument document) {
+        Inheritance inheritance = new Inheritance(document);
         return document.sections().values().stream()
-                .filter(section -> section.name().kind() == SectionKind.ORGANISATION)
-                .filter(section -> inCycle(document, section))
-                .map(section -> fault(section, SettingKey.PARENT, "the parents form a cycle"));
+                .filter(section -> section.value(SettingKey.PARENT).isPresent())
+                .map(section ->
+                        parentProblem(inheritance, section).map(problem -> fault(section, SettingKey.PARENT, problem)))
+                .mapMulti(Optional::ifPresent);
     }
 
-    private static boolean inCycle(SettingsDocument document, SettingsSection start) {
-        Set<SectionName> seen = new HashSet<>();
-        Optional<SettingsSection> current = Optional.of(start);
-        while (current.isPresent()) {
-            if (!seen.add(current.get().name())) {
-                return true;
-            }
-            current = current.get()
-                    .value(SettingKey.PARENT)
-                    .flatMap(parent ->
-                            document.section(new SectionName(SectionKind.ORGANISATION, ImmutableList.of(parent))));
+    private static Optional<String> parentProblem(Inheritance inheritance, SettingsSection section) {
+        OrganisationName organisation =
+                new OrganisationName(section.name().names().get(0));
+        ImmutableList<String> ancestors = inheritance.ancestors(organisation);
+        if (ImmutableSet.copyOf(ancestors).size() < ancestors.size()) {
+            return Optional.of("the parents form a cycle");
         }
-        return false;
+        return ancestors.size() > Inheritance.MAXIMUM_PARENTS + 1
+                ? Optional.of("there are more than " + Inheritance.MAXIMUM_PARENTS + " levels of parents")
+                : Optional.empty();
     }
 
     private static Stream<SettingsFault> sharedCredentials(SettingsDocument document) {
@@ -95,7 +86,7 @@
                 SettingKey.CREDENTIAL_SHA256,
                 section -> SettingType.names(
                         section.value(SettingKey.CREDENTIAL_SHA256).orElse("")),
-                "another organisation has the same credential: ");
+                "another organisation has the same credential");
     }
 
     private static Stream<SettingsFault> sharedRanks(SettingsDocument document) {
@@ -103,7 +94,7 @@
                 document,
                 SettingKey.RANK,
                 section -> section.value(SettingKey.RANK).map(ImmutableList::of).orElseGet(ImmutableList::of),
-                "another tier has the same rank: ");
+                "another tier has the same rank");
     }
 
     private static Stream<SettingsFault> shared(
@@ -116,19 +107,10 @@
                 .collect(ImmutableSetMultimap.flatteningToImmutableSetMultimap(
                         section -> section, section -> values.apply(section).stream()))
                 .inverse();
-        return holders.asMap().entrySet().stream()
-                .filter(entry -> entry.getValue().size() > 1)
-                .map(Map.Entry::getValue)
-                .map(SettingsCheck::names)
-                .flatMap(names -> Stream.of(new SettingsFault(names, key.text(), 0, problem + names)));
-    }
-
-    private static String names(Collection<SettingsSection> sections) {
-        return sections.stream()
-                .map(section -> section.name().toString())
-                .sorted()
-                .reduce((left, right) -> left + ", " + right)
-                .orElse("");
+        return holders.asMap().values().stream()
+                .filter(sections -> sections.size() > 1)
+                .flatMap(Collection::stream)
+                .map(section -> fault(section, key, problem));
     }
 
     private static SettingsFault fault(SettingsSection section, SettingKey key, String problem) {
--- a/core/src/main/java/org/cowslippick/core/settings/SettingsDocument.java
+++ b/core/src/main/java/org/cowslippick/core/settings/SettingsDocument.java
@@ -4,12 +4,8 @@
 import com.google.common.collect.ImmutableSortedMap;
 import com.google.common.collect.Sets;
 import io.vavr.control.Either;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
@@ -26,9 +22,7 @@
 
     /** Builds a document from sections; a later section of the same name replaces an earlier one. */
     public static SettingsDocument of(Iterable<SettingsSection> sections) {
-        Map<SectionName, SettingsSection> byName = new HashMap<>();
-        sections.forEach(section -> byName.put(section.name(), section));
-        return new SettingsDocument(ImmutableSortedMap.copyOf(byName));
+        return EMPTY.withAll(sections);
     }
 
     /** Reads INI text; every fault is listed, and a text with any fault gives no document. */
@@ -37,12 +31,11 @@
     }
 
     private static Either<ImmutableList<SettingsFault>, SettingsDocument> parse(ImmutableList<IniSection> read) {
-        List<SettingsFault> faults = new ArrayList<>();
-        Map<SectionName, SettingsSection> parsed = new HashMap<>();
-        read.forEach(section -> parseSection(section, parsed, faults));
-        return faults.isEmpty()
-                ? Either.right(new SettingsDocument(ImmutableSortedMap.copyOf(parsed)))
-                : Either.left(ImmutableList.copyOf(faults));
+        SectionReader reader = new SectionReader();
+        read.forEach(reader::read);
+        return reader.faults().isEmpty()
+                ? Either.right(EMPTY.withAll(reader.sections()))
+                : Either.left(reader.faults());
     }
 
     /** The sections in the order of their names. */
@@ -57,7 +50,7 @@
 
     /** Returns a document in which the section stands as given. */
     public SettingsDocument with(SettingsSection section) {
-        return of(Stream.concat(sections.values().stream(), Stream.of(section)).toList());
+        return withAll(ImmutableList.of(section));
     }
 
     /** Returns a document in which the key of the section has the value; the section is created if need be. */
@@ -122,61 +115,10 @@
         return Stream.concat(whole, own);
     }
 
-    private static void parseSection(
-            IniSection section, Map<SectionName, SettingsSection> parsed, List<SettingsFault> faults) {
-        Optional<SectionName> name = SectionName.parse(section.header());
-        if (name.isEmpty()) {
-            faults.add(new SettingsFault(
-                    section.header(), "", section.line(), "no such kind of section, or a name is missing"));
-            return;
-        }
-        if (parsed.containsKey(name.get())) {
-            faults.add(new SettingsFault(section.header(), "", section.line(), "the section stands twice"));
-            return;
-        }
-        name.get().names().stream()
-                .filter(part -> !SettingType.NAME.accepts(part))
-                .forEach(part -> faults.add(new SettingsFault(
-                        section.header(),
-                        "",
-                        section.line(),
-                        "\"" + part + "\" is not " + SettingType.NAME.expectation())));
-        parsed.put(name.get(), new SettingsSection(name.get(), settings(name.get(), section, faults)));
-    }
-
-    private static ImmutableList<Setting> settings(SectionName name, IniSection section, List<SettingsFault> faults) {
-        Map<SettingKey, String> values = new HashMap<>();
-        for (IniEntry entry : section.entries()) {
-            Optional<String> problem = problem(name, entry, values);
-            if (problem.isPresent()) {
-                faults.add(new SettingsFault(section.header(), entry.key(), entry.line(), problem.get()));
-            } else {
-                values.put(SettingKey.parse(entry.key()).orElseThrow(), entry.value());
-            }
-        }
-        Stream.of(SettingKey.values())
-                .filter(key -> key.requiredIn(name.kind()))
-                .filter(key -> section.entries().stream()
-                        .noneMatch(entry -> entry.key().equals(key.text())))
-                .forEach(key -> faults.add(
-                        new SettingsFault(section.header(), key.text(), section.line(), "the key is missing")));
-        return values.entrySet().stream()
-                .map(entry -> new Setting(entry.getKey(), entry.getValue()))
-                .sorted(Comparator.comparing(Setting::key))
-                .collect(ImmutableList.toImmutableList());
-    }
-
-    private static Optional<String> problem(SectionName name, IniEntry entry, Map<SettingKey, String> earlier) {
-        Optional<SettingKey> key = SettingKey.parse(entry.key());
-        if (key.isEmpty()) {
-            return Optional.of("no such key");
-        }
-        if (!key.get().allowedIn(name.kind())) {
-            return Optional.of("the key may not stand in this kind of section");
-        }
-        if (earlier.containsKey(key.get())) {
-            return Optional.of("the key stands twice");
-        }
-        return key.get().type().problem(entry.value());
+    /** Copies in linear time, without sorting what is sorted already. */
+    private SettingsDocument withAll(Iterable<SettingsSection> added) {
+        TreeMap<SectionName, SettingsSection> copy = new TreeMap<>(sections);
+        added.forEach(section -> copy.put(section.name(), section));
+        return new SettingsDocument(ImmutableSortedMap.copyOfSorted(copy));
     }
 }
--- a/core/src/main/java/org/cowslippick/core/settings/SettingsSection.java
+++ b/core/src/main/java/org/cowslippick/core/settings/SettingsSection.java
@@ -10,10 +10,12 @@
 
     /** Finds the section's own value of a key. */
     public Optional<String> value(SettingKey key) {
-        return settings.stream()
-                .filter(setting -> setting.key() == key)
-                .map(Setting::value)
-                .findFirst();
+        for (Setting setting : settings) {
+            if (setting.key() == key) {
+                return Optional.of(setting.value());
+            }
+        }
+        return Optional.empty();
     }
 
     /** Returns a section in which the key has the value. */
--- a/core/src/main/java/org/cowslippick/core/settings/SettingsTree.java
+++ b/core/src/main/java/org/cowslippick/core/settings/SettingsTree.java
@@ -11,6 +11,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.stream.Stream;
 import org.cowslippick.core.world.Contract;
 import org.cowslippick.core.world.DispatchRule;
@@ -44,6 +45,7 @@
             SettingKey.CROSS_REGION, "no");
 
     private final SettingsDocument document;
+    private final Inheritance inheritance;
     private final ImmutableMap<String, OrganisationName> organisationsByCredential;
     private final ImmutableList<Tier> tiers;
     private final ImmutableList<Service> services;
@@ -54,6 +56,7 @@
 
     private SettingsTree(SettingsDocument document) {
         this.document = document;
+        this.inheritance = new Inheritance(document);
         this.organisationsByCredential = credentials(document);
         this.tiers = sections(SectionKind.TIER).map(SettingsTree::tier).collect(ImmutableList.toImmutableList());
         this.services =
@@ -73,7 +76,8 @@
 
     /** Reads and checks INI text. */
     public static Either<ImmutableList<SettingsFault>, SettingsTree> parse(String text) {
-        return SettingsDocument.parse(text).flatMap(SettingsTree::of);
+        return SettingsDocument.parse(text)
+                .flatMap(document -> of(document).mapLeft(faults -> FaultLines.locate(text, faults)));
     }
 
     /** The hash under which a credential is kept in the settings. */
@@ -112,7 +116,8 @@
 
     /** Finds a failure domain and its region. */
     public Optional<FailureDomain> failureDomain(String name) {
-        return document.section(SectionName.failureDomain(name))
+        return inheritance
+                .section(SectionName.failureDomain(name))
                 .map(section -> new FailureDomain(name, new Region(own(section, SettingKey.REGION))));
     }
 
@@ -128,7 +133,8 @@
 
     /** Whether the credential is one of an operator. */
     public boolean operator(String credential) {
-        return document.section(SectionName.DEFAULTS)
+        return inheritance
+                .section(SectionName.DEFAULTS)
                 .flatMap(section -> section.value(SettingKey.OPERATOR_CREDENTIAL_SHA256))
                 .map(SettingType::names)
                 .filter(hashes -> hashes.contains(hashOf(credential)))
@@ -137,11 +143,7 @@
 
     /** The tiers that an organisation may use for a service, best first; empty if it is entitled to none. */
     public ImmutableList<Tier> entitledTiers(OrganisationName organisation, ServiceName service) {
-        return Stream.concat(
-                        organisationSections(organisation, service, Optional.empty()),
-                        Stream.of(SectionName.service(service), SectionName.DEFAULTS))
-                .flatMap(name -> ownSetting(name, SettingKey.TIERS).stream())
-                .findFirst()
+        return Inheritance.first(inheritance.of(organisation, service), SettingKey.TIERS)
                 .map(setting -> SettingType.names(setting.value()).stream()
                         .flatMap(name -> tier(new TierName(name)).stream())
                         .sorted(Comparator.comparingInt(Tier::rank))
@@ -151,14 +153,15 @@
 
     /** What the organisation was promised for the service at the tier. */
     public Contract contract(OrganisationName organisation, Service service, Tier tier) {
+        ImmutableList<SettingsSection> inherited = inheritance.of(organisation, service.name(), tier.name());
         return new Contract(
                 organisation,
                 service.name(),
                 tier,
-                duration(organisation, service, tier, SettingKey.FIRST_TOKEN),
-                duration(organisation, service, tier, SettingKey.BETWEEN_TOKENS),
-                duration(organisation, service, tier, SettingKey.DEADLINE),
-                resolve(organisation, service.name(), tier.name(), SettingKey.CROSS_REGION)
+                duration(inherited, SettingKey.FIRST_TOKEN),
+                duration(inherited, SettingKey.BETWEEN_TOKENS),
+                duration(inherited, SettingKey.DEADLINE),
+                resolve(inherited, SettingKey.CROSS_REGION)
                         .map(setting -> setting.value().equals("yes"))
                         .orElse(false));
     }
@@ -166,16 +169,7 @@
     /** Looks a value up from the nearest section outwards. */
     public Optional<ResolvedSetting> resolve(
             OrganisationName organisation, ServiceName service, TierName tier, SettingKey key) {
-        return Stream.concat(
-                        organisationSections(organisation, service, Optional.of(tier)),
-                        Stream.of(
-                                SectionName.serviceTier(service, tier),
-                                SectionName.service(service),
-                                SectionName.tier(tier),
-                                SectionName.DEFAULTS))
-                .flatMap(name -> ownSetting(name, key).stream())
-                .findFirst()
-                .or(() -> builtIn(key));
+        return resolve(inheritance.of(organisation, service, tier), key);
     }
 
     /**
@@ -184,63 +178,34 @@
      * organisation.
      */
     public ImmutableList<Limits> limits(OrganisationName organisation, ServiceName service, TierName tier) {
+        ImmutableList<String> ancestors = inheritance.ancestors(organisation);
         return Stream.of(
+                        limits(ancestors, Inheritance::organisation, SectionName.DEFAULTS),
                         limits(
-                                SectionName.organisation(organisation),
-                                ancestors(organisation).map(SectionName::organisation),
-                                SectionName.DEFAULTS),
-                        limits(
-                                SectionName.organisationService(organisation, service),
-                                ancestors(organisation)
-                                        .map(ancestor -> SectionName.organisationService(ancestor, service)),
+                                ancestors,
+                                ancestor -> Inheritance.organisationService(ancestor, service),
                                 SectionName.service(service)),
                         limits(
-                                SectionName.organisationServiceTier(organisation, service, tier),
-                                ancestors(organisation)
-                                        .map(ancestor -> SectionName.organisationServiceTier(ancestor, service, tier)),
+                                ancestors,
+                                ancestor -> Inheritance.organisationServiceTier(ancestor, service, tier),
                                 SectionName.serviceTier(service, tier)))
                 .filter(limits -> !limits.unlimited())
                 .collect(ImmutableList.toImmutableList());
     }
 
-    private Limits limits(SectionName scope, Stream<SectionName> inherited, SectionName last) {
-        ImmutableList<SectionName> lookUp =
-                Stream.concat(inherited, Stream.of(last)).collect(ImmutableList.toImmutableList());
+    private Limits limits(ImmutableList<String> ancestors, Function<String, SectionName> shape, SectionName last) {
+        ImmutableList<SettingsSection> inherited = inheritance.existing(
+                Stream.concat(ancestors.stream().map(shape), Stream.of(last)).toList());
         return new Limits(
-                scope,
+                shape.apply(ancestors.get(0)),
                 Limits.KEYS.stream()
-                        .map(key -> firstOf(lookUp, key))
+                        .map(key -> Inheritance.first(inherited, key))
                         .<ResolvedSetting>mapMulti(Optional::ifPresent)
                         .collect(ImmutableList.toImmutableList()));
     }
 
-    private Optional<ResolvedSetting> firstOf(ImmutableList<SectionName> lookUp, SettingKey key) {
-        return lookUp.stream().flatMap(name -> ownSetting(name, key).stream()).findFirst();
-    }
-
-    /** The organisation, its parent, the parent's parent, and so on. */
-    private Stream<OrganisationName> ancestors(OrganisationName organisation) {
-        return Stream.iterate(Optional.of(organisation), Optional::isPresent, current -> current.flatMap(
-                                name -> document.section(SectionName.organisation(name)))
-                        .flatMap(section -> section.value(SettingKey.PARENT))
-                        .map(OrganisationName::new))
-                .mapMulti(Optional::ifPresent);
-    }
-
-    private Stream<SectionName> organisationSections(
-            OrganisationName organisation, ServiceName service, Optional<TierName> tier) {
-        return ancestors(organisation)
-                .flatMap(ancestor -> Stream.concat(
-                        tier.stream().map(name -> SectionName.organisationServiceTier(ancestor, service, name)),
-                        Stream.of(
-                                SectionName.organisationService(ancestor, service),
-                                SectionName.organisation(ancestor))));
-    }
-
-    private Optional<ResolvedSetting> ownSetting(SectionName name, SettingKey key) {
-        return document.section(name)
-                .flatMap(section -> section.value(key))
-                .map(value -> new ResolvedSetting(key, value, name, false));
+    private static Optional<ResolvedSetting> resolve(ImmutableList<SettingsSection> inherited, SettingKey key) {
+        return Inheritance.first(inherited, key).or(() -> builtIn(key));
     }
 
     private static Optional<ResolvedSetting> builtIn(SettingKey key) {
@@ -248,8 +213,8 @@
                 .map(value -> new ResolvedSetting(key, value, SectionName.DEFAULTS, true));
     }
 
-    private Duration duration(OrganisationName organisation, Service service, Tier tier, SettingKey key) {
-        return resolve(organisation, service.name(), tier.name(), key)
+    private static Duration duration(ImmutableList<SettingsSection> inherited, SettingKey key) {
+        return resolve(inherited, key)
                 .flatMap(setting -> SettingType.duration(setting.value()))
                 .orElseThrow(() -> new IllegalStateException("setting " + key.text() + " has no value"));
     }
