Early refusal by predicted drain, prefix affinity, quarantine, limits, links

Cause: at twice capacity lower tiers waited for their deadline and then missed it, because the predicted wait left out the higher tiers' further arrivals.

Change: the drain model takes the speed from the work dispatched while requests waited and subtracts what arrives in higher tiers. A request is not dispatched if the chosen endpoint is predicted to miss its deadline. PrefixIndex (bounded) counts a cached prefix as prompt tokens not to be computed. Quarantine blames a crash on the suspects that ran there, and suspects run apart. LimitGate and ShareAllocator hold limits over all entries; LinkBudget bounds bytes and counts the price of a link. Each has a naive model or property beside it over fixed seeds.

A tier above the lowest is still not refused early while a lower one waits; that is the invariant, and costs it deadline misses in the queue.

--- a/scheduler/src/main/java/org/cowslippick/scheduler/endpoint/EndpointTable.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/endpoint/EndpointTable.java
@@ -8,6 +8,7 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 import java.util.stream.Stream;
 import org.cowslippick.core.world.Endpoint;
 import org.cowslippick.core.world.EndpointName;
@@ -89,12 +90,15 @@
 
     /** The endpoint with a free slot that is predicted to answer a request of this size first. */
     public Optional<EndpointTracker> choose(
-            int promptTokens, int answerTokens, Predicate<EndpointTracker> allowed, Stream<EndpointTracker> preferred) {
+            ToDoubleFunction<EndpointTracker> promptTokens,
+            double answerTokens,
+            Predicate<EndpointTracker> allowed,
+            Stream<EndpointTracker> preferred) {
         return Stream.concat(
                         available.stream().filter(allowed).limit(CANDIDATES),
                         preferred.filter(available::contains).filter(allowed))
-                .min(Comparator.comparingDouble(tracker -> tracker.serviceNanos(promptTokens, answerTokens)
-                        * (1 + (double) tracker.inFlight() / tracker.window())));
+                .min(Comparator.comparingDouble(
+                        tracker -> tracker.loadedNanos(promptTokens.applyAsDouble(tracker), answerTokens)));
     }
 
     /** An endpoint under suspicion that is due to be probed with a request. */
@@ -167,6 +171,11 @@
         });
     }
 
+    /** Learns from a load report, which counts until something newer is observed. */
+    public void observeLoad(EndpointTracker tracker, int requests, long reportedAtNanos) {
+        update(tracker, changed -> changed.observeLoad(requests, reportedAtNanos));
+    }
+
     /** At most a minority of the endpoints is under suspicion at a time. */
     private void judge(EndpointTracker tracker, double ratio, long nowNanos) {
         double bounded = Math.min(LARGEST_POOL_RATIO, ratio);
--- a/scheduler/src/main/java/org/cowslippick/scheduler/endpoint/EndpointTracker.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/endpoint/EndpointTracker.java
@@ -26,6 +26,7 @@
     private int pendingPrompts;
     private long pendingPromptTokens;
     private long lastFirstTokenAtNanos = Long.MIN_VALUE;
+    private int foreignRequests;
     private double score;
 
     EndpointTracker(Endpoint endpoint, SpeedModel poolSpeed, long betweenTokensNanos, long promptBacklogNanos) {
@@ -118,6 +119,7 @@
         long startedAtNanos = Math.max(dispatchedAtNanos, Math.min(lastFirstTokenAtNanos, firstTokenAtNanos));
         double nanos = (double) Math.max(1, firstTokenAtNanos - startedAtNanos);
         lastFirstTokenAtNanos = Math.max(lastFirstTokenAtNanos, firstTokenAtNanos);
+        foreignRequests = 0;
         double predicted = promptModel().promptsNanos(1, (double) promptTokens);
         double ratio = predicted > 0 ? nanos / predicted : 1;
         learningModels().forEach(model -> model.observePrompt((double) promptTokens, learnt(nanos, predicted)));
@@ -141,6 +143,13 @@
         health.firstToken().observe(ratio);
     }
 
+    /** Requests that the endpoint reported beyond those of this pool, unless something was observed after that. */
+    void observeLoad(int requests, long reportedAtNanos) {
+        if (reportedAtNanos > lastFirstTokenAtNanos) {
+            foreignRequests = Math.max(0, requests - inFlight);
+        }
+    }
+
     void observeFault() {
         health.fault();
     }
@@ -159,8 +168,13 @@
     }
 
     void updateScore() {
-        double load = 1 + (double) inFlight / window();
-        score = (1 + serviceNanos(REFERENCE_PROMPT_TOKENS, REFERENCE_ANSWER_TOKENS)) * load;
+        score = loadedNanos(REFERENCE_PROMPT_TOKENS, REFERENCE_ANSWER_TOKENS);
+    }
+
+    /** The predicted time to the whole answer, weighted by the load, since every request slows the others. */
+    double loadedNanos(double promptTokens, double answerTokens) {
+        double load = 1 + (double) (inFlight + foreignRequests) / window();
+        return (1 + serviceNanos(promptTokens, answerTokens)) * load;
     }
 
     private double backlogNanos() {
--- /dev/null
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/limit/LimitShare.java
@@ -0,0 +1,34 @@
+package org.cowslippick.scheduler.limit;
+
+import org.cowslippick.core.settings.SectionName;
+import org.cowslippick.core.world.InstanceName;
+
+/**
+ * The part of a scope's limits that one entry may use, each part from 0 to 1. The parts of all entries add up to 1.
+ *
+ * @param entries how many entries share the scope
+ */
+public record LimitShare(
+        InstanceName entry, SectionName scope, double requestsPart, double tokensPart, double atOncePart, int entries) {
+
+    /** An equal part for each of so many entries. */
+    public static LimitShare equal(InstanceName entry, SectionName scope, int entries) {
+        double part = 1.0 / entries;
+        return new LimitShare(entry, scope, part, part, part, entries);
+    }
+
+    /**
+     * What remains of this share when it is out of date: in no respect more than an equal part. Such parts add up to at
+     * most 1 whichever entries are out of date and others are not, as long as the others keep their shares.
+     */
+    public LimitShare outdated() {
+        double equal = 1.0 / entries;
+        return new LimitShare(
+                entry,
+                scope,
+                Math.min(equal, requestsPart),
+                Math.min(equal, tokensPart),
+                Math.min(equal, atOncePart),
+                entries);
+    }
+}
--- a/scheduler/src/main/java/org/cowslippick/scheduler/pool/Admission.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/pool/Admission.java
@@ -17,14 +17,17 @@
 final class Admission {
 
     private static final double USED_SHARE_GAIN = 0.05;
+    private static final long SHORTEST_RETRY_AFTER_NANOS = 1_000_000L;
 
     private final TieredQueue queue;
     private final EndpointTable endpoints;
+    private final DrainModel drain;
     private double usedAnswerShare = 1;
     private long nextSequence;
 
-    Admission(TieredQueue queue, EndpointTable endpoints) {
+    Admission(TieredQueue queue, EndpointTable endpoints, DrainModel drain) {
         this.queue = queue;
+        this.drain = drain;
         this.endpoints = endpoints;
     }
 
@@ -44,15 +47,7 @@
                     "the answer is predicted to take " + milliseconds(serviceNanos) + " ms without any wait, but only "
                             + milliseconds(leftNanos) + " ms are left"));
         }
-        return overload(request, serviceNanos, leftNanos);
-    }
-
-    /** How long a request of this rank that arrives now is predicted to wait. */
-    long waitNanos(int rank) {
-        if (endpoints.hasAvailable() && queue.size() == 0) {
-            return 0;
-        }
-        return queue.serviceNanosDownTo(rank) / Math.max(1, endpoints.totalWindow());
+        return overload(request, serviceNanos, leftNanos, nowNanos);
     }
 
     QueuedRequest queued(RequestDescriptor request) {
@@ -66,14 +61,12 @@
                 serviceNanos);
     }
 
-    Failure shed(RequestDescriptor request) {
-        long waitNanos =
-                Math.max(1, queue.serviceNanosDownTo(request.tier().rank())) / Math.max(1, endpoints.totalWindow());
+    Failure shed(RequestDescriptor request, long nowNanos) {
         return Failure.retryAfter(
                 ErrorKind.SHED,
                 "the queue holds " + queue.size() + " requests and tier "
                         + request.tier().name() + " was the lowest in it",
-                Duration.ofNanos(Math.max(1, waitNanos)));
+                retryAfter(request, nowNanos));
     }
 
     Failure expired(RequestDescriptor request, long nowNanos) {
@@ -81,7 +74,7 @@
                 ErrorKind.DEADLINE_PASSED_IN_QUEUE,
                 "after " + milliseconds(nowNanos - request.arrivalNanos())
                         + " ms in the queue the answer can no longer be in time",
-                Duration.ofNanos(Math.max(1, waitNanos(request.tier().rank()))));
+                retryAfter(request, nowNanos));
     }
 
     /** Learns how much of the allowed answer length is used. */
@@ -96,9 +89,9 @@
         return usedAnswerShare * request.answerTokens();
     }
 
-    private Optional<Failure> overload(RequestDescriptor request, long serviceNanos, long leftNanos) {
+    private Optional<Failure> overload(RequestDescriptor request, long serviceNanos, long leftNanos, long nowNanos) {
         int rank = request.tier().rank();
-        long waitNanos = waitNanos(rank);
+        long waitNanos = drain.waitNanos(rank, nowNanos);
         long excessNanos = waitNanos + serviceNanos - leftNanos;
         if (excessNanos <= 0 || queue.hasLowerThan(rank)) {
             return Optional.empty();
@@ -110,6 +103,12 @@
                 Duration.ofNanos(excessNanos)));
     }
 
+    /** When what waits before a request of this tier is predicted to be done. */
+    private Duration retryAfter(RequestDescriptor request, long nowNanos) {
+        return Duration.ofNanos(Math.max(
+                SHORTEST_RETRY_AFTER_NANOS, drain.waitNanos(request.tier().rank(), nowNanos)));
+    }
+
     private long serviceNanos(RequestDescriptor request) {
         return (long) (endpoints.poolSpeed().promptsNanos(1, request.promptTokens())
                 + endpoints.poolSpeed().betweenTokensNanos() * expectedAnswerTokens(request));
--- a/scheduler/src/main/java/org/cowslippick/scheduler/pool/Attempt.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/pool/Attempt.java
@@ -11,6 +11,7 @@
     private final long promptTokens;
     private final long predictedFirstTokenNanos;
     private boolean firstTokenSeen;
+    private boolean suspect;
 
     Attempt(TrackedRequest request, EndpointTracker tracker, long dispatchedAtNanos, long promptTokens) {
         this.request = request;
@@ -49,4 +50,13 @@
     void markFirstToken() {
         firstTokenSeen = true;
     }
+
+    /** Whether a crash was attributed to its content before it was dispatched. */
+    boolean suspect() {
+        return suspect;
+    }
+
+    void markSuspect() {
+        suspect = true;
+    }
 }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/pool/InFlightTable.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/pool/InFlightTable.java
@@ -12,17 +12,20 @@
     private static final long ABANDON_NANOS = 60_000_000_000L;
 
     private final EndpointTable endpoints;
+    private final CrashAttribution crashes;
     private final DueSet<Attempt> firstTokens = new DueSet<>();
     private final DueSet<Attempt> abandoned = new DueSet<>();
 
-    InFlightTable(EndpointTable endpoints) {
+    InFlightTable(EndpointTable endpoints, CrashAttribution crashes) {
         this.endpoints = endpoints;
+        this.crashes = crashes;
     }
 
     void start(TrackedRequest request, EndpointTracker tracker, int number, long promptTokens, long dispatchedAtNanos) {
         Attempt attempt = new Attempt(request, tracker, dispatchedAtNanos, promptTokens);
         endpoints.start(tracker, promptTokens, dispatchedAtNanos);
         request.start(attempt, number);
+        crashes.started(attempt, dispatchedAtNanos);
         abandoned.put(attempt, request.descriptor().deadlineAtNanos() + ABANDON_NANOS);
         if (attempt.predictedFirstTokenNanos() > 0) {
             firstTokens.put(attempt, dispatchedAtNanos + overdueNanos(attempt));
@@ -35,6 +38,7 @@
         if (!attempt.firstTokenSeen()) {
             endpoints.promptDone(attempt.tracker(), attempt.promptTokens());
         }
+        crashes.ended(attempt);
         endpoints.end(attempt.tracker());
         attempt.request().end(attempt);
     }
@@ -54,6 +58,9 @@
         if (report.betweenTokensNanos() > 0 && report.phase().ended()) {
             endpoints.observeBetweenTokens(attempt.tracker(), report.betweenTokensNanos(), nowNanos);
         }
+        if (report.phase() == DispatchPhase.CRASHED) {
+            crashes.crashed(attempt, nowNanos);
+        }
         if (report.phase().fault()) {
             endpoints.observeFault(attempt.tracker(), nowNanos);
         }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/pool/PoolScheduler.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/pool/PoolScheduler.java
@@ -4,6 +4,7 @@
 import org.cowslippick.core.request.RequestDescriptor;
 import org.cowslippick.core.request.RequestId;
 import org.cowslippick.core.world.Endpoint;
+import org.cowslippick.scheduler.quarantine.Death;
 
 /**
  * Decides which request of one pool runs where and when. Implementations do no I/O, read no clock and are called by one
@@ -35,6 +36,14 @@
     /** Time passed; called every few milliseconds. */
     PoolDecisions advance(long nowNanos);
 
+    /** The crashes of endpoints that the pool attributed to contents, for other pools of the service. */
+    default ImmutableList<Death> deaths(long _nowNanos) {
+        return ImmutableList.of();
+    }
+
+    /** Takes in crashes that another pool attributed to contents; merging them again changes nothing. */
+    default void merge(ImmutableList<Death> _deaths, long _nowNanos) {}
+
     /** What the pool looks like now, for status and metrics. */
     PoolSnapshot snapshot(long nowNanos);
 }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/pool/TieredPool.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/pool/TieredPool.java
@@ -3,16 +3,17 @@
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.stream.Stream;
 import org.cowslippick.core.error.Failure;
 import org.cowslippick.core.request.RequestDescriptor;
 import org.cowslippick.core.request.RequestId;
 import org.cowslippick.core.world.Endpoint;
 import org.cowslippick.scheduler.endpoint.EndpointTable;
 import org.cowslippick.scheduler.endpoint.EndpointTracker;
+import org.cowslippick.scheduler.prefix.PrefixIndex;
+import org.cowslippick.scheduler.quarantine.Death;
+import org.cowslippick.scheduler.quarantine.Quarantine;
 import org.cowslippick.scheduler.queue.QueuedRequest;
 import org.cowslippick.scheduler.queue.TieredQueue;
 import org.cowslippick.scheduler.retry.RatioBudget;
@@ -25,6 +26,7 @@
 public final class TieredPool implements PoolScheduler {
 
     private static final double BUDGET_BALANCE = 10;
+    private static final int MAXIMUM_PREFIXES = 32_768;
     private static final long NO_ENDPOINT_DELAY_NANOS = 10_000_000L;
 
     private final PoolSettings settings;
@@ -33,7 +35,12 @@
     private final InFlightTable inFlightTable;
     private final Map<RequestId, TrackedRequest> requests = new HashMap<>();
     private final DueSet<TrackedRequest> delayed = new DueSet<>();
+    private final PrefixIndex prefixes = new PrefixIndex(MAXIMUM_PREFIXES);
+    private final Quarantine quarantine = new Quarantine();
+    private final CrashAttribution crashes;
+    private final DrainModel drain;
     private final Admission admission;
+    private final Placement placement;
     private final RatioBudget retryBudget;
     private final RatioBudget hedgeBudget;
     private final RetryRules retryRules;
@@ -44,8 +51,11 @@
         this.settings = settings;
         this.queue = new TieredQueue(settings.starvationWaitNanos(), settings.starvationTurn());
         this.endpoints = new EndpointTable(settings.betweenTokensNanos(), settings.promptBacklogNanos());
-        this.inFlightTable = new InFlightTable(endpoints);
-        this.admission = new Admission(queue, endpoints);
+        this.crashes = new CrashAttribution(quarantine);
+        this.inFlightTable = new InFlightTable(endpoints, crashes);
+        this.drain = new DrainModel(queue, endpoints, 1.0 / settings.starvationTurn());
+        this.admission = new Admission(queue, endpoints, drain);
+        this.placement = new Placement(endpoints, prefixes, crashes, admission);
         this.retryBudget = new RatioBudget(settings.retryShare(), BUDGET_BALANCE);
         this.hedgeBudget = new RatioBudget(settings.hedgeShare(), BUDGET_BALANCE);
         this.retryRules = new RetryRules(retryBudget);
@@ -58,16 +68,16 @@
         if (requests.containsKey(request.id())) {
             return step(decisions, nowNanos);
         }
-        Optional<Failure> refusal = admission.refusal(request, nowNanos);
+        Optional<Failure> refusal = crashes.refusal(request, nowNanos).or(() -> admission.refusal(request, nowNanos));
         if (refusal.isPresent()) {
             decisions.refuse(request, refusal.get());
             return step(decisions, nowNanos);
         }
         requests.put(request.id(), new TrackedRequest(request));
-        queue.add(admission.queued(request), nowNanos);
-        dispatch(decisions, nowNanos);
-        shedOverflow(decisions);
-        return decisions.toPoolDecisions();
+        QueuedRequest queued = admission.queued(request);
+        drain.arrived(request.tier().rank(), queued.serviceNanos(), nowNanos);
+        queue.add(queued, nowNanos);
+        return step(decisions, nowNanos);
     }
 
     @Override
@@ -109,12 +119,21 @@
     }
 
     @Override
-    public PoolDecisions observe(LoadReport _report, long nowNanos) {
+    public PoolDecisions observe(LoadReport report, long nowNanos) {
+        endpoints
+                .find(report.endpoint())
+                .ifPresent(tracker -> endpoints.observeLoad(
+                        tracker, report.running() + report.waiting(), nowNanos - report.ageNanos()));
         return step(new Decisions(), nowNanos);
     }
 
     @Override
-    public PoolDecisions observe(CacheEvents _events, long nowNanos) {
+    public PoolDecisions observe(CacheEvents events, long nowNanos) {
+        if (events.gap()) {
+            prefixes.forget(events.endpoint());
+        }
+        events.stored().forEach(prefix -> prefixes.stored(events.endpoint(), prefix));
+        events.evicted().forEach(prefix -> prefixes.evicted(events.endpoint(), prefix));
         return step(new Decisions(), nowNanos);
     }
 
@@ -129,6 +148,16 @@
         return step(new Decisions(), nowNanos);
     }
 
+    @Override
+    public ImmutableList<Death> deaths(long nowNanos) {
+        return quarantine.deaths(nowNanos);
+    }
+
+    @Override
+    public void merge(ImmutableList<Death> deaths, long nowNanos) {
+        quarantine.merge(deaths, nowNanos);
+    }
+
     @Override
     public PoolSnapshot snapshot(long _nowNanos) {
         return new PoolSnapshot(
@@ -160,7 +189,8 @@
         inFlightTable.abandoned(nowNanos).forEach(this::end);
         inFlightTable.overdue(nowNanos).forEach(attempt -> hedge(attempt, decisions, nowNanos));
         dispatch(decisions, nowNanos);
-        shedOverflow(decisions);
+        shedOverflow(decisions, nowNanos);
+        drain.stepped(nowNanos);
         return decisions.toPoolDecisions();
     }
 
@@ -181,9 +211,10 @@
         if (!allowed) {
             return;
         }
-        choose(request)
-                .filter(_tracker -> hedgeBudget.tryWithdraw())
-                .ifPresent(tracker -> grant(request, tracker, Grant.Reason.HEDGE, decisions, nowNanos));
+        placement
+                .choose(request, nowNanos)
+                .filter(_choice -> hedgeBudget.tryWithdraw())
+                .ifPresent(choice -> grant(request, choice, Grant.Reason.HEDGE, decisions, nowNanos));
     }
 
     private void dispatch(Decisions decisions, long nowNanos) {
@@ -198,49 +229,52 @@
 
     private void place(QueuedRequest queued, Decisions decisions, long nowNanos) {
         TrackedRequest request = requests.get(queued.request().id());
-        boolean idempotent = queued.request().dispatchRule().retryAfterStart();
-        Optional<EndpointTracker> chosen = endpoints
-                .chooseProbe(idempotent, tracker -> allowed(request, tracker), nowNanos)
-                .or(() -> choose(request));
-        if (chosen.isEmpty()) {
+        Optional<Failure> quarantined = crashes.refusal(queued.request(), nowNanos);
+        if (quarantined.isPresent()) {
+            queue.remove(queued.request().id());
+            refuse(queued, quarantined.get(), decisions);
+            return;
+        }
+        Optional<Placement.Choice> choice =
+                placement.chooseProbe(request, nowNanos).or(() -> placement.choose(request, nowNanos));
+        if (choice.isEmpty()) {
             queue.remove(queued.request().id());
             delayed.put(request, nowNanos + NO_ENDPOINT_DELAY_NANOS);
             return;
         }
+        if (!choice.get().meetsDeadline(queued.request(), nowNanos)) {
+            queue.remove(queued.request().id());
+            refuse(queued, admission.expired(queued.request(), nowNanos), decisions);
+            return;
+        }
         queue.take(queued, nowNanos);
-        Grant.Reason reason = request.attemptsStarted() == 0 ? Grant.Reason.FIRST : Grant.Reason.RETRY;
-        if (reason == Grant.Reason.FIRST) {
+        drain.dispatched(queued.serviceNanos());
+        grantFromQueue(request, choice.get(), decisions, nowNanos);
+    }
+
+    private void grantFromQueue(TrackedRequest request, Placement.Choice choice, Decisions decisions, long nowNanos) {
+        boolean first = request.attemptsStarted() == 0;
+        if (first) {
             retryBudget.deposit();
             hedgeBudget.deposit();
         }
-        grant(request, chosen.get(), reason, decisions, nowNanos);
+        grant(request, choice, first ? Grant.Reason.FIRST : Grant.Reason.RETRY, decisions, nowNanos);
     }
 
     private void grant(
-            TrackedRequest request, EndpointTracker tracker, Grant.Reason reason, Decisions decisions, long nowNanos) {
+            TrackedRequest request, Placement.Choice choice, Grant.Reason reason, Decisions decisions, long nowNanos) {
         RequestDescriptor descriptor = request.descriptor();
+        EndpointTracker tracker = choice.tracker();
         int number = request.attemptsStarted() + 1;
-        inFlightTable.start(request, tracker, number, descriptor.promptTokens(), nowNanos);
+        inFlightTable.start(request, tracker, number, choice.promptTokens(), nowNanos);
+        prefixes.dispatched(tracker.name(), descriptor.prefixHashes());
         decisions.grant(new Grant(descriptor.id(), descriptor.entry(), tracker.name(), number, reason));
     }
 
-    private Optional<EndpointTracker> choose(TrackedRequest request) {
-        RequestDescriptor descriptor = request.descriptor();
-        return endpoints.choose(
-                descriptor.promptTokens(),
-                (int) admission.expectedAnswerTokens(descriptor),
-                tracker -> allowed(request, tracker),
-                Stream.empty());
-    }
-
-    private boolean allowed(TrackedRequest request, EndpointTracker tracker) {
-        return endpoints.members().size() == 1 || !request.tried(tracker.name());
-    }
-
     private void apply(DispatchReport report, Attempt attempt, Decisions decisions, long nowNanos) {
         inFlightTable.learn(report, attempt, nowNanos);
         if (report.phase() == DispatchPhase.FINISHED) {
-            admission.observeAnswer(attempt.request().descriptor(), report.answerTokens());
+            observeAnswer(attempt.request().descriptor(), report.answerTokens());
         }
         if (!report.phase().ended()) {
             return;
@@ -254,6 +288,11 @@
         }
     }
 
+    private void observeAnswer(RequestDescriptor request, int answerTokens) {
+        admission.observeAnswer(request, answerTokens);
+        queue.charge(request.tier().rank(), request.organisation(), answerTokens - request.answerTokens());
+    }
+
     private void fail(TrackedRequest request, DispatchReport report, Decisions decisions, long nowNanos) {
         if (report.phase() != DispatchPhase.REFUSED) {
             request.mayHaveRun(RetryRules.kind(report.phase()));
@@ -271,11 +310,11 @@
         }
     }
 
-    private void shedOverflow(Decisions decisions) {
+    private void shedOverflow(Decisions decisions, long nowNanos) {
         while (queue.size() > settings.queueCapacity()) {
             QueuedRequest victim = queue.last().orElseThrow();
             queue.remove(victim.request().id());
-            refuse(victim, admission.shed(victim.request()), decisions);
+            refuse(victim, admission.shed(victim.request(), nowNanos), decisions);
         }
     }
 
@@ -284,9 +323,4 @@
         Failure honest = new Failure(request.honest(failure.kind()), failure.detail(), failure.retryAfter());
         decisions.refuse(queued.request(), honest);
     }
-
-    /** For tests that compare decisions with what the pool holds. */
-    List<RequestId> trackedRequests() {
-        return ImmutableList.copyOf(requests.keySet());
-    }
 }
--- /dev/null
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/rate/DecayingRate.java
@@ -0,0 +1,27 @@
+package org.cowslippick.scheduler.rate;
+
+/** A rate in which each amount counts less and less, exponentially with a time constant. */
+public final class DecayingRate {
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final double timeConstantNanos;
+    private double perSecond;
+    private long updatedAtNanos;
+
+    /** Creates a rate of 0. */
+    public DecayingRate(long timeConstantNanos, long nowNanos) {
+        this.timeConstantNanos = (double) timeConstantNanos;
+        this.updatedAtNanos = nowNanos;
+    }
+
+    /** Counts an amount. */
+    public void add(double amount, long nowNanos) {
+        perSecond = perSecond(nowNanos) + amount * NANOS_PER_SECOND / timeConstantNanos;
+        updatedAtNanos = nowNanos;
+    }
+
+    public double perSecond(long nowNanos) {
+        return perSecond * Math.exp((updatedAtNanos - nowNanos) / timeConstantNanos);
+    }
+}
--- /dev/null
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/rate/package-info.java
@@ -0,0 +1,2 @@
+/** Rates that follow the recent past. */
+package org.cowslippick.scheduler.rate;
--- /dev/null
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/limit/LimitGateTest.java
@@ -0,0 +1,133 @@
+package org.cowslippick.scheduler.limit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.cowslippick.core.error.Failure;
+import org.cowslippick.core.settings.Limits;
+import org.cowslippick.core.settings.SectionName;
+import org.cowslippick.core.world.InstanceName;
+import org.cowslippick.core.world.OrganisationName;
+import org.cowslippick.scheduler.pool.Samples;
+import org.junit.jupiter.api.Test;
+
+/** Several entries that hold one limit together, compared with one bucket that sees every request. */
+class LimitGateTest {
+
+    private static final int ENTRIES = 8;
+    private static final double RATE = 100;
+    private static final long STEP_NANOS = 2 * Samples.MILLISECOND;
+    private static final int STEPS = 15_000;
+    private static final int STEPS_PER_ALLOCATION = 250;
+    private static final double LARGEST_ERROR = 0.05;
+    private static final SectionName SCOPE = SectionName.organisation(new OrganisationName("portalia"));
+    private static final Limits BY_RATE =
+            new Limits(SCOPE, OptionalDouble.of(RATE), OptionalDouble.empty(), OptionalInt.empty());
+    private static final Limits BY_CONCURRENCY =
+            new Limits(SCOPE, OptionalDouble.empty(), OptionalDouble.empty(), OptionalInt.of(12));
+
+    @Property(seed = "1", tries = 5)
+    void admitsWithinFivePercentOfOneBucketWhileDemandMoves(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<LimitGate> gates = gates();
+        TokenBucket naive = new TokenBucket(RATE, RATE / 4, 0);
+        int admitted = 0;
+        int naiveAdmitted = 0;
+        for (int step = 0; step < STEPS; step++) {
+            long now = step * STEP_NANOS;
+            allocateAt(step, gates);
+            int busiest = step / 2_000 % ENTRIES;
+            int entry = random.nextInt(3) > 0 ? busiest : random.nextInt(ENTRIES);
+            if (gates.get(entry).tryAdmit(ImmutableList.of(BY_RATE), 1, now).isEmpty()) {
+                admitted++;
+                gates.get(entry).release(ImmutableList.of(BY_RATE));
+            }
+            naiveAdmitted += naive.tryTake(1, 0, now) ? 1 : 0;
+        }
+        assertEquals(1, admitted / (double) naiveAdmitted, LARGEST_ERROR);
+    }
+
+    @Property(seed = "2", tries = 20)
+    void neverRunsMoreAtOnceThanAllowed(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<LimitGate> gates = gates();
+        Deque<LimitGate> running = new ArrayDeque<>();
+        for (int step = 0; step < 2_000; step++) {
+            LimitGate gate = gates.get(random.nextInt(ENTRIES));
+            if (gate.tryAdmit(ImmutableList.of(BY_CONCURRENCY), 1, step * STEP_NANOS)
+                    .isEmpty()) {
+                running.add(gate);
+            }
+            assertTrue(running.size() <= BY_CONCURRENCY.atOnce().getAsInt());
+            if (!running.isEmpty() && random.nextBoolean()) {
+                running.poll().release(ImmutableList.of(BY_CONCURRENCY));
+            }
+        }
+    }
+
+    @Property(seed = "3", tries = 200)
+    void groupsOfEntriesThatCannotReachEachOtherStayWithinTheLimit(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        int cut = 1 + random.nextInt(ENTRIES - 1);
+        ImmutableList<DemandReport> reports = IntStream.range(0, ENTRIES)
+                .mapToObj(number -> new DemandReport(
+                        entry(number), SCOPE, new Demand(random.nextDouble() * RATE, 0, random.nextInt(20))))
+                .collect(ImmutableList.toImmutableList());
+        double total = sum(ShareAllocator.allocate(BY_RATE, reports.subList(0, cut), ENTRIES - cut))
+                + sum(ShareAllocator.allocate(BY_RATE, reports.subList(cut, ENTRIES), cut));
+        assertEquals(1, total, 1e-9);
+        assertEquals(1, sum(ShareAllocator.allocate(BY_RATE, reports, 0)), 1e-9);
+        double atOnce = ShareAllocator.allocate(BY_CONCURRENCY, reports, 0).stream()
+                .mapToDouble(LimitShare::atOncePart)
+                .sum();
+        assertEquals(1, atOnce, 1e-9);
+    }
+
+    @Test
+    void aShareThatIsNotRenewedShrinksToAnEqualPart() {
+        LimitGate gate = new LimitGate(entry(0), ENTRIES);
+        ImmutableList<Limits> limits = ImmutableList.of(BY_CONCURRENCY);
+        assertTrue(gate.tryAdmit(limits, 1, 0).isEmpty());
+        gate.apply(new LimitShare(entry(0), SCOPE, 1, 1, 1, ENTRIES), 0);
+        assertTrue(gate.tryAdmit(limits, 1, Samples.SECOND).isEmpty());
+        Failure failure = gate.tryAdmit(limits, 1, 5 * Samples.SECOND).orElseThrow();
+        assertTrue(failure.retryAfter().isPresent());
+    }
+
+    private static List<LimitGate> gates() {
+        return IntStream.range(0, ENTRIES)
+                .mapToObj(number -> new LimitGate(entry(number), ENTRIES))
+                .toList();
+    }
+
+    private static void allocateAt(int step, List<LimitGate> gates) {
+        if (step % STEPS_PER_ALLOCATION != 0) {
+            return;
+        }
+        long now = step * STEP_NANOS;
+        ImmutableList<DemandReport> reports =
+                gates.stream().flatMap(gate -> gate.demand(now).stream()).collect(ImmutableList.toImmutableList());
+        int quiet = ENTRIES - reports.size();
+        ShareAllocator.allocate(BY_RATE, reports, quiet)
+                .forEach(share ->
+                        gates.get(Integer.parseInt(share.entry().value())).apply(share, now));
+    }
+
+    private static double sum(ImmutableList<LimitShare> shares) {
+        return shares.stream().mapToDouble(LimitShare::requestsPart).sum();
+    }
+
+    private static InstanceName entry(int number) {
+        return new InstanceName(Integer.toString(number));
+    }
+}
