First token predicted from all prompt tokens ahead; fake engine as engines batch

Cause: the prediction took a fixed cost for each prompt ahead, which holds for an engine that computes one prompt per step. Engines that share a step between prompts answer several at once; a batch of eight would have looked like one answer eight times slower than predicted.

Change: the time from dispatch is fitted over the prompt tokens from the dispatch to the first token, without a cost per prompt. Limits are read once per scope instead of on every request.

--- a/scheduler/src/main/java/org/cowslippick/scheduler/endpoint/EndpointTable.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/endpoint/EndpointTable.java
@@ -141,11 +141,10 @@
         update(tracker, EndpointTracker::end);
     }
 
-    /** Learns from a first token. */
-    public void observeFirstToken(
-            EndpointTracker tracker, long promptTokens, long dispatchedAtNanos, long nanos, long nowNanos) {
+    /** Learns from a first token, behind so many prompt tokens that had to be computed since the dispatch. */
+    public void observeFirstToken(EndpointTracker tracker, long promptTokens, long nanos, long nowNanos) {
         update(tracker, changed -> {
-            double ratio = changed.observeFirstToken(promptTokens, dispatchedAtNanos, dispatchedAtNanos + nanos);
+            double ratio = changed.observeFirstToken(promptTokens, nanos, nowNanos);
             judge(changed, ratio, nowNanos);
         });
     }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/endpoint/EndpointTracker.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/endpoint/EndpointTracker.java
@@ -67,8 +67,17 @@
 
     /** The predicted time from dispatch to the first token, behind the prompts that it has to compute before. */
     public double firstTokenNanos(double promptTokens) {
-        return promptModel().promptsNanos(pendingPrompts + 1, pendingPromptTokens + promptTokens)
-                * health.firstToken().factor();
+        return expectedFirstTokenNanos(promptTokens) * health.firstToken().factor();
+    }
+
+    /** The same for an endpoint at its usual speed. */
+    public double expectedFirstTokenNanos(double promptTokens) {
+        return promptModel().firstTokenNanos(pendingPromptTokens + promptTokens);
+    }
+
+    /** Prompt tokens that were dispatched to it and not answered with a first token yet. */
+    public long pendingPromptTokens() {
+        return pendingPromptTokens;
     }
 
     public double betweenTokensNanos() {
@@ -114,15 +123,18 @@
         inFlight--;
     }
 
-    /** Learns from a first token; returns the ratio of the observed to the predicted time. */
-    double observeFirstToken(long promptTokens, long dispatchedAtNanos, long firstTokenAtNanos) {
-        long startedAtNanos = Math.max(dispatchedAtNanos, Math.min(lastFirstTokenAtNanos, firstTokenAtNanos));
-        double nanos = (double) Math.max(1, firstTokenAtNanos - startedAtNanos);
+    /**
+     * Learns from a first token; returns the ratio of the observed to the predicted time.
+     *
+     * @param promptTokens that the endpoint had to compute from the dispatch up to this first token
+     */
+    double observeFirstToken(long promptTokens, long nanos, long firstTokenAtNanos) {
         lastFirstTokenAtNanos = Math.max(lastFirstTokenAtNanos, firstTokenAtNanos);
         foreignRequests = 0;
-        double predicted = promptModel().promptsNanos(1, (double) promptTokens);
+        double predicted = promptModel().firstTokenNanos((double) promptTokens);
         double ratio = predicted > 0 ? nanos / predicted : 1;
-        learningModels().forEach(model -> model.observePrompt((double) promptTokens, learnt(nanos, predicted)));
+        learningModels()
+                .forEach(model -> model.observeFirstToken((double) promptTokens, learnt((double) nanos, predicted)));
         health.firstToken().observe(ratio);
         health.success();
         return ratio;
@@ -178,9 +190,7 @@
     }
 
     private double backlogNanos() {
-        return endpoint.kind() == EndpointKind.MODEL
-                ? promptModel().promptsNanos(pendingPrompts, (double) pendingPromptTokens)
-                : 0;
+        return endpoint.kind() == EndpointKind.MODEL ? promptModel().nanosPerPromptToken() * pendingPromptTokens : 0;
     }
 
     /** An endpoint under suspicion teaches nothing about the others. */
@@ -189,7 +199,7 @@
     }
 
     private SpeedModel promptModel() {
-        return speed.knowsPrompts() ? speed : poolSpeed;
+        return speed.knowsFirstToken() ? speed : poolSpeed;
     }
 
     /** Bounds an observation, so that a slow time does not become the expectation at once. */
--- a/scheduler/src/main/java/org/cowslippick/scheduler/endpoint/SpeedModel.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/endpoint/SpeedModel.java
@@ -1,9 +1,9 @@
 package org.cowslippick.scheduler.endpoint;
 
 /**
- * Predicts how long one prompt keeps an endpoint busy, as a line over its tokens, and the time between tokens, as a
- * mean. The line is fitted by least squares in which old observations count less and less; without observations all
- * predictions are 0.
+ * Predicts the time to first token, as a line over the prompt tokens that are computed before it, and the time between
+ * tokens, as a mean. The line is fitted by least squares in which old observations count less and less; without
+ * observations all predictions are 0.
  */
 public final class SpeedModel {
 
@@ -20,8 +20,8 @@
     private double nanosPerToken;
     private double betweenTokensNanos;
 
-    /** Learns from the time that one prompt took. */
-    void observePrompt(double tokens, double nanos) {
+    /** Learns from one first token. */
+    void observeFirstToken(double tokens, double nanos) {
         weight = weight * DECAY + 1;
         sumTokens = sumTokens * DECAY + tokens;
         sumNanos = sumNanos * DECAY + nanos;
@@ -36,7 +36,7 @@
         betweenTokensNanos += gain * (nanos - betweenTokensNanos);
     }
 
-    public boolean knowsPrompts() {
+    public boolean knowsFirstToken() {
         return weight > 0;
     }
 
@@ -44,9 +44,12 @@
         return betweenTokensNanos > 0;
     }
 
-    /** The predicted time for so many prompts with so many tokens in total. */
-    public double promptsNanos(int prompts, double tokens) {
-        return baseNanos * prompts + nanosPerToken * tokens;
+    public double firstTokenNanos(double promptTokens) {
+        return baseNanos + nanosPerToken * promptTokens;
+    }
+
+    public double nanosPerPromptToken() {
+        return nanosPerToken;
     }
 
     public double betweenTokensNanos() {
--- a/scheduler/src/main/java/org/cowslippick/scheduler/limit/ScopeGate.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/limit/ScopeGate.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import org.cowslippick.core.error.ErrorKind;
 import org.cowslippick.core.error.Failure;
 import org.cowslippick.core.settings.Limits;
@@ -22,6 +24,9 @@
     private final TokenBucket requests;
     private final TokenBucket tokens;
     private Limits limits;
+    private OptionalDouble requestLimit = OptionalDouble.empty();
+    private OptionalDouble tokenLimit = OptionalDouble.empty();
+    private OptionalInt atOnceLimit = OptionalInt.empty();
     private LimitShare share;
     private long shareAtNanos;
     private int running;
@@ -66,13 +71,13 @@
     /** Why a request may not pass, if it may not; changes nothing but the demand. */
     Optional<Failure> refusal(long nowNanos) {
         expireShare(nowNanos);
-        if (limits.requestsPerSecond().isPresent() && !requests.has(0, nowNanos)) {
+        if (requestLimit.isPresent() && !requests.has(0, nowNanos)) {
             return Optional.of(refused("requests per second", requests.nanosUntilAbove(0, nowNanos)));
         }
-        if (limits.tokensPerSecond().isPresent() && !tokens.has(0, nowNanos)) {
+        if (tokenLimit.isPresent() && !tokens.has(0, nowNanos)) {
             return Optional.of(refused("tokens per second", tokens.nanosUntilAbove(0, nowNanos)));
         }
-        if (limits.atOnce().isPresent() && running >= atOnceShare()) {
+        if (atOnceLimit.isPresent() && running >= atOnceShare()) {
             concurrencyRefusals.add(1, nowNanos);
             return Optional.of(refused("requests at once", CONCURRENCY_RETRY_AFTER.toNanos()));
         }
@@ -98,7 +103,7 @@
     }
 
     private int atOnceShare() {
-        return (int) Math.floor(limits.atOnce().orElse(Integer.MAX_VALUE) * share.atOncePart() + 1e-9);
+        return (int) Math.floor(atOnceLimit.orElse(Integer.MAX_VALUE) * share.atOncePart() + 1e-9);
     }
 
     private void expireShare(long nowNanos) {
@@ -108,8 +113,11 @@
     }
 
     private void resize(long nowNanos) {
-        double requestRate = limits.requestsPerSecond().orElse(0) * share.requestsPart();
-        double tokenRate = limits.tokensPerSecond().orElse(0) * share.tokensPart();
+        requestLimit = limits.requestsPerSecond();
+        tokenLimit = limits.tokensPerSecond();
+        atOnceLimit = limits.atOnce();
+        double requestRate = requestLimit.orElse(0) * share.requestsPart();
+        double tokenRate = tokenLimit.orElse(0) * share.tokensPart();
         requests.resize(requestRate, Math.max(1, requestRate * BURST_SECONDS), nowNanos);
         tokens.resize(tokenRate, Math.max(1, tokenRate * BURST_SECONDS), nowNanos);
     }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/pool/Admission.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/pool/Admission.java
@@ -51,7 +51,7 @@
     }
 
     QueuedRequest queued(RequestDescriptor request) {
-        double firstTokenNanos = endpoints.poolSpeed().promptsNanos(1, request.promptTokens());
+        double firstTokenNanos = endpoints.poolSpeed().firstTokenNanos(request.promptTokens());
         long serviceNanos = serviceNanos(request);
         return new QueuedRequest(
                 request,
@@ -110,7 +110,7 @@
     }
 
     private long serviceNanos(RequestDescriptor request) {
-        return (long) (endpoints.poolSpeed().promptsNanos(1, request.promptTokens())
+        return (long) (endpoints.poolSpeed().firstTokenNanos(request.promptTokens())
                 + endpoints.poolSpeed().betweenTokensNanos() * expectedAnswerTokens(request));
     }
 
--- a/scheduler/src/main/java/org/cowslippick/scheduler/pool/Attempt.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/pool/Attempt.java
@@ -9,7 +9,8 @@
     private final EndpointTracker tracker;
     private final long dispatchedAtNanos;
     private final long promptTokens;
-    private final long predictedFirstTokenNanos;
+    private final long promptTokensToFirstToken;
+    private final long expectedFirstTokenNanos;
     private boolean firstTokenSeen;
     private boolean suspect;
 
@@ -18,7 +19,8 @@
         this.tracker = tracker;
         this.dispatchedAtNanos = dispatchedAtNanos;
         this.promptTokens = promptTokens;
-        this.predictedFirstTokenNanos = (long) tracker.firstTokenNanos((double) promptTokens);
+        this.promptTokensToFirstToken = tracker.pendingPromptTokens() + promptTokens;
+        this.expectedFirstTokenNanos = (long) tracker.expectedFirstTokenNanos((double) promptTokens);
     }
 
     TrackedRequest request() {
@@ -38,9 +40,14 @@
         return promptTokens;
     }
 
-    /** The time from dispatch to the first token as predicted at dispatch; 0 if nothing was known. */
-    long predictedFirstTokenNanos() {
-        return predictedFirstTokenNanos;
+    /** Prompt tokens that the endpoint has to compute up to this request's first token. */
+    long promptTokensToFirstToken() {
+        return promptTokensToFirstToken;
+    }
+
+    /** The time from dispatch to the first token on an endpoint at its usual speed; 0 if nothing was known. */
+    long expectedFirstTokenNanos() {
+        return expectedFirstTokenNanos;
     }
 
     boolean firstTokenSeen() {
--- a/scheduler/src/main/java/org/cowslippick/scheduler/pool/InFlightTable.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/pool/InFlightTable.java
@@ -27,7 +27,7 @@
         request.start(attempt, number);
         crashes.started(attempt, dispatchedAtNanos);
         abandoned.put(attempt, request.descriptor().deadlineAtNanos() + ABANDON_NANOS);
-        if (attempt.predictedFirstTokenNanos() > 0) {
+        if (attempt.expectedFirstTokenNanos() > 0) {
             firstTokens.put(attempt, dispatchedAtNanos + overdueNanos(attempt));
         }
     }
@@ -49,11 +49,7 @@
             firstTokens.remove(attempt);
             endpoints.promptDone(attempt.tracker(), attempt.promptTokens());
             endpoints.observeFirstToken(
-                    attempt.tracker(),
-                    attempt.promptTokens(),
-                    attempt.dispatchedAtNanos(),
-                    report.timeToFirstTokenNanos(),
-                    nowNanos);
+                    attempt.tracker(), attempt.promptTokensToFirstToken(), report.timeToFirstTokenNanos(), nowNanos);
         }
         if (report.betweenTokensNanos() > 0 && report.phase().ended()) {
             endpoints.observeBetweenTokens(attempt.tracker(), report.betweenTokensNanos(), nowNanos);
@@ -71,7 +67,7 @@
         ImmutableList<Attempt> due = firstTokens.removeDue(nowNanos);
         due.forEach(attempt -> {
             long waitedNanos = nowNanos - attempt.dispatchedAtNanos();
-            double ratio = (double) waitedNanos / attempt.predictedFirstTokenNanos();
+            double ratio = (double) waitedNanos / attempt.expectedFirstTokenNanos();
             endpoints.observeOverdue(attempt.tracker(), ratio, nowNanos);
             firstTokens.put(attempt, nowNanos + waitedNanos);
         });
@@ -84,6 +80,6 @@
     }
 
     private static long overdueNanos(Attempt attempt) {
-        return Math.max(OVERDUE_FLOOR_NANOS, (long) (OVERDUE_FACTOR * attempt.predictedFirstTokenNanos()));
+        return Math.max(OVERDUE_FLOOR_NANOS, (long) (OVERDUE_FACTOR * attempt.expectedFirstTokenNanos()));
     }
 }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/pool/TieredPool.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/pool/TieredPool.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.cowslippick.core.error.ErrorKind;
 import org.cowslippick.core.error.Failure;
 import org.cowslippick.core.request.RequestDescriptor;
 import org.cowslippick.core.request.RequestId;
@@ -106,6 +107,9 @@
             TrackedRequest request =
                     requests.computeIfAbsent(inFlight.request().id(), _id -> new TrackedRequest(inFlight.request()));
             queue.remove(inFlight.request().id());
+            if (inFlight.attempt() > 1) {
+                request.mayHaveRun(ErrorKind.ENDPOINT_FAILED);
+            }
             if (request.attemptOn(inFlight.endpoint()).isEmpty()) {
                 inFlightTable.start(
                         request,
--- a/scheduler/src/test/java/org/cowslippick/scheduler/limit/LimitGateTest.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/limit/LimitGateTest.java
@@ -7,15 +7,15 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
-import java.util.OptionalDouble;
-import java.util.OptionalInt;
 import java.util.SplittableRandom;
 import java.util.stream.IntStream;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.cowslippick.core.error.Failure;
 import org.cowslippick.core.settings.Limits;
+import org.cowslippick.core.settings.ResolvedSetting;
 import org.cowslippick.core.settings.SectionName;
+import org.cowslippick.core.settings.SettingKey;
 import org.cowslippick.core.world.InstanceName;
 import org.cowslippick.core.world.OrganisationName;
 import org.cowslippick.scheduler.pool.Samples;
@@ -31,10 +31,8 @@
     private static final int STEPS_PER_ALLOCATION = 250;
     private static final double LARGEST_ERROR = 0.05;
     private static final SectionName SCOPE = SectionName.organisation(new OrganisationName("portalia"));
-    private static final Limits BY_RATE =
-            new Limits(SCOPE, OptionalDouble.of(RATE), OptionalDouble.empty(), OptionalInt.empty());
-    private static final Limits BY_CONCURRENCY =
-            new Limits(SCOPE, OptionalDouble.empty(), OptionalDouble.empty(), OptionalInt.of(12));
+    private static final Limits BY_RATE = limits(SettingKey.REQUESTS_PER_SECOND, Double.toString(RATE));
+    private static final Limits BY_CONCURRENCY = limits(SettingKey.REQUESTS_AT_ONCE, "12");
 
     @Property(seed = "1", tries = 5)
     void admitsWithinFivePercentOfOneBucketWhileDemandMoves(@ForAll long seed) {
@@ -123,6 +121,10 @@
                         gates.get(Integer.parseInt(share.entry().value())).apply(share, now));
     }
 
+    private static Limits limits(SettingKey key, String value) {
+        return new Limits(SCOPE, ImmutableList.of(new ResolvedSetting(key, value, SCOPE, false)));
+    }
+
     private static double sum(ImmutableList<LimitShare> shares) {
         return shares.stream().mapToDouble(LimitShare::requestsPart).sum();
     }
--- a/scheduler/src/test/java/org/cowslippick/scheduler/sim/FakeEngine.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/sim/FakeEngine.java
@@ -5,11 +5,10 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 
 /**
- * A model engine that batches continuously: each iteration computes one chunk of the oldest prompt and one token of
+ * A model engine that batches continuously: each iteration computes one chunk of the oldest prompts and one token of
  * every running answer. Requests beyond its slots wait inside it, first come first served.
  */
 final class FakeEngine {
@@ -20,8 +19,11 @@
     private static final double SEQUENCE_NANOS = 0.5e6;
     private static final double PROMPT_TOKEN_NANOS = 0.04e6;
 
+    private record Chunk(Job job, int tokens) {}
+
     private final EventQueue events;
     private final int slots;
+    private final int promptsPerIteration;
     private final double speed;
     private final Deque<Job> waiting = new ArrayDeque<>();
     private final List<Job> running = new ArrayList<>();
@@ -31,9 +33,10 @@
     private boolean busy;
     private long promptTokensComputed;
 
-    FakeEngine(EventQueue events, int slots, double speed) {
+    FakeEngine(EventQueue events, int slots, int promptsPerIteration, double speed) {
         this.events = events;
         this.slots = slots;
+        this.promptsPerIteration = promptsPerIteration;
         this.speed = speed;
     }
 
@@ -67,19 +70,34 @@
         if (!busy) {
             return;
         }
-        Optional<Job> prefill = running.stream().filter(Job::needsPrompt).findFirst();
         List<Job> decoding = running.stream().filter(job -> !job.needsPrompt()).toList();
-        int chunk = prefill.map(job -> Math.min(CHUNK_TOKENS, job.promptLeft())).orElse(0);
+        List<Chunk> chunks = chunks();
+        int chunk = chunks.stream().mapToInt(Chunk::tokens).sum();
         double nanos = ITERATION_NANOS + SEQUENCE_NANOS * decoding.size() + PROMPT_TOKEN_NANOS * chunk;
-        events.after((long) (nanos * slowdown / speed), () -> finishIteration(prefill, chunk, decoding));
+        events.after((long) (nanos * slowdown / speed), () -> finishIteration(chunks, decoding));
+    }
+
+    private List<Chunk> chunks() {
+        List<Chunk> chunks = new ArrayList<>();
+        int left = CHUNK_TOKENS;
+        for (Job job : running.stream().filter(Job::needsPrompt).toList()) {
+            if (left == 0 || chunks.size() == promptsPerIteration) {
+                break;
+            }
+            int chunk = Math.min(left, job.promptLeft());
+            chunks.add(new Chunk(job, chunk));
+            left -= chunk;
+        }
+        return chunks;
     }
 
-    private void finishIteration(Optional<Job> prefill, int chunk, List<Job> decoding) {
-        promptTokensComputed += chunk;
+    private void finishIteration(List<Chunk> chunks, List<Job> decoding) {
         decoding.stream().filter(running::contains).forEach(this::token);
-        prefill.filter(running::contains).ifPresent(job -> {
-            job.computePrompt(chunk);
-            if (!job.needsPrompt()) {
+        chunks.forEach(chunk -> {
+            Job job = chunk.job();
+            promptTokensComputed += chunk.tokens();
+            job.computePrompt(chunk.tokens());
+            if (running.contains(job) && !job.needsPrompt()) {
                 remember(job);
                 token(job);
             }
--- a/scheduler/src/test/java/org/cowslippick/scheduler/sim/PolicyTest.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/sim/PolicyTest.java
@@ -8,7 +8,7 @@
 import org.cowslippick.scheduler.pool.Samples;
 import org.cowslippick.scheduler.pool.SchedulingPolicy;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.ValueSource;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Compares the policies on the same traces. */
 class PolicyTest {
@@ -25,10 +25,11 @@
     private static final double CALM_PER_SECOND = CAPACITY_PER_SECOND / 2;
 
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3})
-    void keepsTheHighestTierOnTimeAtTwiceCapacity(long seed) {
-        Results tiered = run(SchedulingPolicy.TIERED, seed, _at -> 2 * CAPACITY_PER_SECOND, 0);
-        Results baseline = run(SchedulingPolicy.LEAST_REQUEST, seed, _at -> 2 * CAPACITY_PER_SECOND, 0);
+    @CsvSource({"1, 64", "2, 64", "3, 1"})
+    void keepsTheHighestTierOnTimeAtTwiceCapacity(long seed, int promptsPerIteration) {
+        Results tiered = run(SchedulingPolicy.TIERED, seed, promptsPerIteration, _at -> 2 * CAPACITY_PER_SECOND, 0);
+        Results baseline =
+                run(SchedulingPolicy.LEAST_REQUEST, seed, promptsPerIteration, _at -> 2 * CAPACITY_PER_SECOND, 0);
         show("twice capacity", seed, tiered, baseline);
         assertTrue(tiered.onTimeShare(0) >= 0.99);
         assertTrue(tiered.weightedGoodput() >= 1.5 * baseline.weightedGoodput());
@@ -36,20 +37,20 @@
     }
 
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3})
-    void keepsTheHighestTierOnTimeAtTheCrest(long seed) {
-        Results tiered = run(SchedulingPolicy.TIERED, seed, PolicyTest::crest, 0);
-        Results baseline = run(SchedulingPolicy.LEAST_REQUEST, seed, PolicyTest::crest, 0);
+    @CsvSource({"1, 64", "2, 64", "3, 1"})
+    void keepsTheHighestTierOnTimeAtTheCrest(long seed, int promptsPerIteration) {
+        Results tiered = run(SchedulingPolicy.TIERED, seed, promptsPerIteration, PolicyTest::crest, 0);
+        Results baseline = run(SchedulingPolicy.LEAST_REQUEST, seed, promptsPerIteration, PolicyTest::crest, 0);
         show("crest", seed, tiered, baseline);
         assertTrue(tiered.onTimeShare(0) >= 0.98);
         assertTrue(tiered.weightedGoodput() > baseline.weightedGoodput());
     }
 
     @ParameterizedTest
-    @ValueSource(longs = {1, 2, 3})
-    void avoidsStragglers(long seed) {
-        double tiered = slowdown(SchedulingPolicy.TIERED, seed);
-        double baseline = slowdown(SchedulingPolicy.LEAST_REQUEST, seed);
+    @CsvSource({"1, 64", "2, 64", "3, 1"})
+    void avoidsStragglers(long seed, int promptsPerIteration) {
+        double tiered = slowdown(SchedulingPolicy.TIERED, seed, promptsPerIteration);
+        double baseline = slowdown(SchedulingPolicy.LEAST_REQUEST, seed, promptsPerIteration);
         System.out.printf("stragglers seed %d: p99 slowdown tiered %.2f baseline %.2f%n", seed, tiered, baseline);
         assertTrue(tiered <= 1.3);
         assertTrue(tiered < baseline);
@@ -60,9 +61,9 @@
         return high ? 4 * CAPACITY_PER_SECOND : CALM_PER_SECOND;
     }
 
-    private static double slowdown(SchedulingPolicy policy, long seed) {
-        return slowPeriodP99(run(policy, seed, _at -> CALM_PER_SECOND, 2))
-                / slowPeriodP99(run(policy, seed, _at -> CALM_PER_SECOND, 0));
+    private static double slowdown(SchedulingPolicy policy, long seed, int promptsPerIteration) {
+        return slowPeriodP99(run(policy, seed, promptsPerIteration, _at -> CALM_PER_SECOND, 2))
+                / slowPeriodP99(run(policy, seed, promptsPerIteration, _at -> CALM_PER_SECOND, 0));
     }
 
     private static double slowPeriodP99(Results results) {
@@ -74,8 +75,10 @@
         System.out.printf("%s seed %d: baseline %s%n", what, seed, baseline.summary());
     }
 
-    private static Results run(SchedulingPolicy policy, long seed, LongToDoubleFunction rate, int slowed) {
-        Simulation simulation = new Simulation(policy.create(seed, PoolSettings.DEFAULT), ENGINES, SLOTS);
+    private static Results run(
+            SchedulingPolicy policy, long seed, int promptsPerIteration, LongToDoubleFunction rate, int slowed) {
+        Simulation simulation =
+                new Simulation(policy.create(seed, PoolSettings.DEFAULT), ENGINES, SLOTS, promptsPerIteration);
         IntStream.range(0, slowed).forEach(engine -> {
             simulation.slowAt(SLOWED_FROM_NANOS, engine, 10);
             simulation.slowAt(SLOWED_TO_NANOS, engine, 1);
--- a/scheduler/src/test/java/org/cowslippick/scheduler/sim/Simulation.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/sim/Simulation.java
@@ -27,12 +27,12 @@
     private final Map<RequestId, Outcome> outcomes = new HashMap<>();
 
     /** Engines of two generations, the even ones half as fast again. */
-    Simulation(PoolScheduler pool, int engineCount, int slots) {
+    Simulation(PoolScheduler pool, int engineCount, int slots, int promptsPerIteration) {
         this.pool = pool;
         IntStream.range(0, engineCount)
                 .forEach(number -> engines.put(
                         Samples.endpoint(number, slots).name(),
-                        new FakeEngine(events, slots, number % 2 == 0 ? 1.5 : 1.0)));
+                        new FakeEngine(events, slots, promptsPerIteration, number % 2 == 0 ? 1.5 : 1.0)));
         pool.replaceEndpoints(Samples.endpoints(engineCount, slots), 0);
     }
 
