--- a/standin/src/main/java/org/cowslippick/standin/bench/Bench.java
+++ b/standin/src/main/java/org/cowslippick/standin/bench/Bench.java
@@ -42,6 +42,12 @@
         BenchReport run(BenchOptions options) {
             return LimitsBench.run(options);
         }
+    },
+    SLOPES {
+        @Override
+        BenchReport run(BenchOptions options) {
+            return SlopesBench.run(options);
+        }
     };
 
     abstract BenchReport run(BenchOptions options);
--- a/standin/src/main/java/org/cowslippick/standin/bench/BenchReport.java
+++ b/standin/src/main/java/org/cowslippick/standin/bench/BenchReport.java
@@ -10,6 +10,7 @@
  * @param seconds how long each policy was loaded
  * @param requests the requests of one run
  * @param rows the measures that have targets
+ * @param slopes the costs that the bench of slopes fitted
  * @param diagnostics what shows whether the run can be trusted, and why a target was missed
  */
 record BenchReport(
@@ -19,7 +20,8 @@
         int requests,
         ImmutableList<Row> rows,
         ImmutableList<TierRow> tiers,
-        ImmutableList<Diagnostic> diagnostics) {
+        ImmutableList<Diagnostic> diagnostics,
+        ImmutableList<Slope> slopes) {
 
     static final int FEWEST_REQUESTS = 1000;
 
@@ -36,7 +38,12 @@
      */
     @JsonInclude(JsonInclude.Include.ALWAYS)
     record Row(
-            String measure, String unit, double cowslippick, double naive, Double ratio, String target, boolean met) {
+            String measure, String unit, double cowslippick, Double naive, Double ratio, String target, boolean met) {
+
+        /** A row of something that the naive version does not have. */
+        static Row alone(String measure, String unit, double cowslippick, Target target) {
+            return new Row(measure, unit, cowslippick, null, null, target.text(), target.met(cowslippick, 0));
+        }
 
         static Row of(String measure, String unit, double cowslippick, double naive, Target target) {
             double ratio = cowslippick / naive;
--- a/standin/src/main/java/org/cowslippick/standin/bench/BenchSite.java
+++ b/standin/src/main/java/org/cowslippick/standin/bench/BenchSite.java
@@ -21,6 +21,7 @@
     private final SystemTimerService timer;
     private final ImmutableList<StandinModelEngine> engines;
     private final ShedInversions inversions = new ShedInversions();
+    private final PoolSamples samples = new PoolSamples();
     private final ImmutableList<Entry> entries;
 
     /**
@@ -75,6 +76,10 @@
         engines.get(engine).faults(EngineFaults.slower(factor));
     }
 
+    PoolSamples.Means samples() {
+        return samples.means();
+    }
+
     ShedInversions inversions() {
         return inversions;
     }
@@ -100,6 +105,6 @@
         return new Entry(
                 settings,
                 () -> tree,
-                _pool -> inversions.watch(plan.policy().create(plan.seed(), PoolSettings.DEFAULT)));
+                _pool -> new WatchedPool(plan.policy().create(plan.seed(), PoolSettings.DEFAULT), inversions, samples));
     }
 }
--- a/standin/src/main/java/org/cowslippick/standin/bench/CallOutcome.java
+++ b/standin/src/main/java/org/cowslippick/standin/bench/CallOutcome.java
@@ -10,6 +10,7 @@
  * @param lastTokenNanos when the last token came
  * @param tokens how many tokens came
  * @param whole whether the answer is complete and has as many tokens as were asked for
+ * @param queueMilliseconds the time in the queue by the receipt; 0 without one
  * @param error the kind of the error, if one was answered
  */
 record CallOutcome(
@@ -19,6 +20,7 @@
         long lastTokenNanos,
         int tokens,
         boolean whole,
+        long queueMilliseconds,
         Optional<String> error) {
 
     /** Whether the caller got all that the tier promises: first token, time between tokens, and deadline. */
--- a/standin/src/main/java/org/cowslippick/standin/bench/CallerHandler.java
+++ b/standin/src/main/java/org/cowslippick/standin/bench/CallerHandler.java
@@ -18,6 +18,7 @@
 
     static final String CONNECTION_LOST = "connection-lost-or-unanswered";
     private static final String TOKEN_MARK = "\"offset\":";
+    private static final String QUEUE_MARK = "\"queueMilliseconds\":";
     private static final String DATA = "data: ";
     private static final int OK_STATUS = 200;
 
@@ -30,6 +31,7 @@
     private int tokens;
     private long firstTokenNanos;
     private long lastTokenNanos;
+    private long queueMilliseconds;
     private Optional<String> error = Optional.empty();
 
     CallerHandler(TracedRequest request, long intendedNanos, long sentNanos, CompletableFuture<CallOutcome> outcome) {
@@ -95,6 +97,10 @@
             tokens++;
         } else if (line.startsWith("{\"error\":", DATA.length())) {
             error = errorKind(line.substring(DATA.length()));
+        } else if (line.contains(QUEUE_MARK)) {
+            queueMilliseconds = Json.read(line.substring(DATA.length()))
+                    .map(receipt -> receipt.path("queueMilliseconds").asLong())
+                    .orElse(0L);
         }
     }
 
@@ -113,6 +119,7 @@
                 lastTokenNanos,
                 tokens,
                 error.isEmpty() && tokens == request.answerTokens(),
+                queueMilliseconds,
                 error));
     }
 
--- a/standin/src/main/java/org/cowslippick/standin/bench/Comparison.java
+++ b/standin/src/main/java/org/cowslippick/standin/bench/Comparison.java
@@ -45,7 +45,8 @@
                 trace.requests().size(),
                 rows,
                 tiers(),
-                diagnostics());
+                diagnostics(),
+                ImmutableList.of());
     }
 
     private ImmutableList<BenchReport.TierRow> tiers() {
@@ -86,6 +87,10 @@
                 diagnostic("urgent_late_first_token", "requests", run -> lateUrgent(run, Comparison::firstTokenLate)),
                 diagnostic("urgent_late_between_tokens", "requests", run -> lateUrgent(run, Comparison::tokensSlow)),
                 diagnostic("urgent_late_deadline", "requests", run -> lateUrgent(run, Comparison::deadlineLate)),
+                diagnostic("urgent_queue_p50", "ms", Comparison::urgentQueue),
+                diagnostic("pool_queued_mean", "requests", run -> run.pool().queued()),
+                diagnostic("pool_in_flight_mean", "requests", run -> run.pool().inFlight()),
+                diagnostic("pool_window_mean", "requests", run -> run.pool().window()),
                 diagnostic("expired_inversions", "requests", PolicyRun::expiredInversions),
                 diagnostic("wasted_prefill_share", "share", PolicyRun::wastedPrefillShare));
     }
@@ -106,6 +111,13 @@
                 / NANOS_PER_MILLISECOND;
     }
 
+    private static double urgentQueue(PolicyRun run) {
+        return run.histogram(
+                        outcome -> outcome.request().tier() == BenchTier.URGENT && outcome.whole(),
+                        CallOutcome::queueMilliseconds)
+                .getValueAtPercentile(P50);
+    }
+
     private static double milliseconds(PolicyRun run, ToLongFunction<CallOutcome> nanos, double percentile) {
         return run.histogram(_outcome -> true, nanos).getValueAtPercentile(percentile) / NANOS_PER_MILLISECOND;
     }
--- a/standin/src/main/java/org/cowslippick/standin/bench/PolicyRun.java
+++ b/standin/src/main/java/org/cowslippick/standin/bench/PolicyRun.java
@@ -16,6 +16,7 @@
         ImmutableList<EngineCounters> engines,
         long shedInversions,
         long expiredInversions,
+        PoolSamples.Means pool,
         double processorShare) {
 
     private static final long LONGEST_NANOS = 600_000_000_000L;
--- a/standin/src/main/java/org/cowslippick/standin/bench/RelayBench.java
+++ b/standin/src/main/java/org/cowslippick/standin/bench/RelayBench.java
@@ -52,7 +52,8 @@
                 ImmutableList.of(),
                 ImmutableList.of(
                         new BenchReport.Diagnostic("straight_median", "ms", straight(cowslippick), straight(naive)),
-                        new BenchReport.Diagnostic("relay_added_p99", "ms", cowslippick.added(P99), naive.added(P99))));
+                        new BenchReport.Diagnostic("relay_added_p99", "ms", cowslippick.added(P99), naive.added(P99))),
+                ImmutableList.of());
     }
 
     private static RelayBench measure(SchedulingPolicy policy, BenchOptions options) {
--- a/standin/src/main/java/org/cowslippick/standin/bench/ReportTable.java
+++ b/standin/src/main/java/org/cowslippick/standin/bench/ReportTable.java
@@ -9,6 +9,8 @@
 
     private static final double LATE_SENDING_MILLISECONDS = 20;
 
+    private static final double PERCENT = 100;
+
     private ReportTable() {}
 
     static String text(BenchReport report) {
@@ -24,6 +26,7 @@
         Stream<String> body = Stream.of(
                         report.rows().stream().map(ReportTable::row),
                         report.tiers().stream().map(ReportTable::tier),
+                        report.slopes().stream().map(ReportTable::slope),
                         report.diagnostics().stream().map(ReportTable::diagnostic),
                         warnings(report))
                 .flatMap(lines -> lines);
@@ -36,7 +39,7 @@
                 "%-40s %12.4f %12.4f %9.3f  %s %s",
                 row.measure() + " (" + row.unit() + ")",
                 row.cowslippick(),
-                row.naive(),
+                row.naive() == null ? Double.NaN : row.naive(),
                 row.ratio() == null ? Double.NaN : row.ratio(),
                 row.target(),
                 row.met() ? "met" : "MISSED");
@@ -63,6 +66,19 @@
                 diagnostic.naive());
     }
 
+    private static String slope(Slope slope) {
+        return String.format(
+                Locale.ROOT,
+                "%-40s %12.4f per %s, %12.1f fixed, residual %.1f%% at sizes %s: %s",
+                slope.measure() + " (" + slope.unit() + ")",
+                slope.perItem(),
+                slope.item(),
+                slope.fixed(),
+                slope.residualShare() * PERCENT,
+                slope.sizes(),
+                slope.values());
+    }
+
     private static Stream<String> warnings(BenchReport report) {
         return report.diagnostics().stream()
                 .filter(diagnostic -> diagnostic.name().equals("send_lateness_p99"))
--- a/standin/src/main/java/org/cowslippick/standin/bench/ShedInversions.java
+++ b/standin/src/main/java/org/cowslippick/standin/bench/ShedInversions.java
@@ -1,7 +1,6 @@
 package org.cowslippick.standin.bench;
 
 import java.util.concurrent.atomic.AtomicLong;
-import org.cowslippick.scheduler.pool.PoolScheduler;
 
 /**
  * Counts requests that a pool refused for want of room although it had a request of a lower tier in its queue. Requests
@@ -12,11 +11,6 @@
     private final AtomicLong shed = new AtomicLong();
     private final AtomicLong expired = new AtomicLong();
 
-    /** A pool that decides as the given one and is counted here. */
-    PoolScheduler watch(PoolScheduler pool) {
-        return new WatchedPool(pool, this);
-    }
-
     void countShed() {
         shed.incrementAndGet();
     }
--- a/standin/src/main/java/org/cowslippick/standin/bench/WatchedPool.java
+++ b/standin/src/main/java/org/cowslippick/standin/bench/WatchedPool.java
@@ -19,13 +19,18 @@
 /** Follows which requests wait in a pool, from its inputs and decisions alone. */
 final class WatchedPool implements PoolScheduler {
 
+    private static final long SAMPLE_NANOS = 50_000_000L;
+
     private final PoolScheduler pool;
     private final ShedInversions inversions;
+    private final PoolSamples samples;
     private final Map<RequestId, Integer> waitingRanks = new HashMap<>();
+    private long sampledAtNanos;
 
-    WatchedPool(PoolScheduler pool, ShedInversions inversions) {
+    WatchedPool(PoolScheduler pool, ShedInversions inversions, PoolSamples samples) {
         this.pool = pool;
         this.inversions = inversions;
+        this.samples = samples;
     }
 
     @Override
@@ -68,6 +73,10 @@
 
     @Override
     public PoolDecisions advance(long nowNanos) {
+        if (nowNanos - sampledAtNanos > SAMPLE_NANOS) {
+            sampledAtNanos = nowNanos;
+            samples.add(pool.snapshot(nowNanos));
+        }
         return observed(pool.advance(nowNanos));
     }
 
--- a/standin/src/test/java/org/cowslippick/standin/bench/BenchReportTest.java
+++ b/standin/src/test/java/org/cowslippick/standin/bench/BenchReportTest.java
@@ -60,6 +60,15 @@
         assertFalse(outcome(500, 580, 2, false).onTime());
     }
 
+    @Test
+    void aSlopeFitsAStraightLine() {
+        Slope slope =
+                Slope.fit("heap", "bytes", "peer", ImmutableList.of(10, 20, 30), ImmutableList.of(105.0, 205.0, 305.0));
+        assertEquals(10, slope.perItem(), EPSILON);
+        assertEquals(5, slope.fixed(), EPSILON);
+        assertEquals(0, slope.residualShare(), EPSILON);
+    }
+
     @Test
     void nothingOnTimeMeetsNoRatio() {
         assertFalse(Target.ratioAtLeast(1.5).met(0, 0));
@@ -74,6 +83,7 @@
                 ImmutableList.of(
                         BenchReport.Row.of("weighted_goodput", "weighted answers", 30, 10, Target.ratioAtLeast(1.5))),
                 ImmutableList.of(),
+                ImmutableList.of(),
                 ImmutableList.of());
     }
 
@@ -85,6 +95,7 @@
                 lastMilliseconds * 1_000_000,
                 tokens,
                 whole,
+                0,
                 Optional.empty());
     }
 }
