--- a/cli/src/main/java/org/cowslippick/cli/http/HttpCalls.java
+++ b/cli/src/main/java/org/cowslippick/cli/http/HttpCalls.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import ratpack.exec.ExecController;
 import ratpack.exec.internal.DefaultExecController;
@@ -41,6 +42,18 @@
         return result;
     }
 
+    /** Makes the call and hands on the lines of a successful answer as they come; the answer's body then is empty. */
+    public CompletableFuture<Either<HttpFault, HttpAnswer>> startStream(HttpCall call, Consumer<String> lines) {
+        CompletableFuture<Either<HttpFault, HttpAnswer>> result = new CompletableFuture<>();
+        controller
+                .fork()
+                .onError(failure -> result.complete(Either.left(fault(failure))))
+                .start(_execution -> client.requestStream(call.uri(), spec -> fill(spec, call))
+                        .then(response -> response.getBody()
+                                .subscribe(new LineSubscriber(response.getStatusCode(), lines, result))));
+        return result;
+    }
+
     /** Makes the call and waits for its end. */
     public Either<HttpFault, HttpAnswer> call(HttpCall call) {
         return start(call).join();
--- a/cli/src/main/java/org/cowslippick/cli/operator/RecordCommand.java
+++ b/cli/src/main/java/org/cowslippick/cli/operator/RecordCommand.java
@@ -1,7 +1,8 @@
 package org.cowslippick.cli.operator;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.google.common.collect.ImmutableList;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.net.UrlEscapers;
 import io.vavr.control.Either;
 import joptsimple.OptionParser;
@@ -11,7 +12,7 @@
 import org.cowslippick.cli.Report;
 import org.cowslippick.cli.Table;
 
-/** Shows an organisation's record of promises kept. */
+/** Sums an organisation's record of promises kept over the entries, and says which entries are missing. */
 public final class RecordCommand implements Command {
 
     @Override
@@ -23,8 +24,9 @@
     public Either<CommandFailure, Report> run(Invocation invocation) {
         return invocation
                 .argument(0)
-                .map(organisation -> OperatorSession.run(invocation, session -> session.fromAnyEntry(path(organisation))
-                        .map(RecordCommand::report)))
+                .map(organisation ->
+                        OperatorSession.run(invocation, session -> session.fromEveryEntry(path(organisation))
+                                .map(RecordCommand::report)))
                 .orElseGet(() -> Either.left(CommandFailure.usage("the organisation is missing")));
     }
 
@@ -32,9 +34,13 @@
         return "/v1/organisations/" + UrlEscapers.urlPathSegmentEscaper().escape(organisation) + "/record";
     }
 
-    private static Report report(JsonNode record) {
-        JsonNode rows = record.path("rows");
-        Table table = Table.ofObjects(rows.isArray() ? rows : ImmutableList.of(record));
-        return new Report(table.toText(), record);
+    private static Report report(EveryEntry answers) {
+        RecordSum sum = RecordSum.of(answers.bodies());
+        ObjectNode json = JsonNodeFactory.instance.objectNode();
+        ArrayNode lines = json.putArray("lines");
+        sum.lines().forEach(lines::add);
+        ArrayNode missing = json.putArray("missing");
+        answers.missing().forEach(missing::add);
+        return new Report(answers.withMissing(Table.ofObjects(sum.lines()).toText()), json);
     }
 }
