Features for each promise of the scheduler; faults the features found

A window grew beyond the configured concurrency on the time between tokens alone, although an engine with fewer slots then queues inside. A first token cleared the count of faults, so an endpoint that always failed after it was never ejected. An entry without demand took an equal part of a limit that was allocated to others.

Change: windows grow beyond the configured concurrency only while first tokens come as predicted. Only a whole answer clears faults. Entries keep shares of scopes they do not use yet; an outdated share gives way to an equal part, which the allocator sets aside.

The cost of one decision is not measured yet.

--- a/scheduler/src/main/java/org/cowslippick/scheduler/endpoint/EndpointTable.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/endpoint/EndpointTable.java
@@ -162,6 +162,14 @@
         });
     }
 
+    /** Learns that an attempt gave its whole answer. */
+    public void observeSuccess(EndpointTracker tracker, long nowNanos) {
+        update(tracker, changed -> {
+            changed.observeSuccess();
+            judge(changed, 1, nowNanos);
+        });
+    }
+
     /** Learns that an attempt failed. */
     public void observeFault(EndpointTracker tracker, long nowNanos) {
         update(tracker, changed -> {
--- a/scheduler/src/main/java/org/cowslippick/scheduler/endpoint/EndpointTracker.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/endpoint/EndpointTracker.java
@@ -136,7 +136,6 @@
         learningModels()
                 .forEach(model -> model.observeFirstToken((double) promptTokens, learnt((double) nanos, predicted)));
         health.firstToken().observe(ratio);
-        health.success();
         return ratio;
     }
 
@@ -146,7 +145,7 @@
         double ratio = predicted > 0 ? nanos / predicted : 1;
         learningModels().forEach(model -> model.observeBetweenTokens(learnt((double) nanos, predicted)));
         health.betweenTokens().observe(ratio);
-        window.observe((double) nanos, inFlight, nowNanos);
+        window.observe((double) nanos, health.firstToken().factor(), inFlight, nowNanos);
         return ratio;
     }
 
@@ -162,6 +161,10 @@
         }
     }
 
+    void observeSuccess() {
+        health.success();
+    }
+
     void observeFault() {
         health.fault();
     }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/limit/LimitShare.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/limit/LimitShare.java
@@ -16,19 +16,4 @@
         double part = 1.0 / entries;
         return new LimitShare(entry, scope, part, part, part, entries);
     }
-
-    /**
-     * What remains of this share when it is out of date: in no respect more than an equal part. Such parts add up to at
-     * most 1 whichever entries are out of date and others are not, as long as the others keep their shares.
-     */
-    public LimitShare outdated() {
-        double equal = 1.0 / entries;
-        return new LimitShare(
-                entry,
-                scope,
-                Math.min(equal, requestsPart),
-                Math.min(equal, tokensPart),
-                Math.min(equal, atOncePart),
-                entries);
-    }
 }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/limit/ScopeGate.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/limit/ScopeGate.java
@@ -7,7 +7,6 @@
 import org.cowslippick.core.error.ErrorKind;
 import org.cowslippick.core.error.Failure;
 import org.cowslippick.core.settings.Limits;
-import org.cowslippick.core.world.InstanceName;
 import org.cowslippick.scheduler.rate.DecayingRate;
 
 /** One entry's part of the limits of one scope. */
@@ -15,7 +14,6 @@
 
     private static final double BURST_SECONDS = 0.25;
     private static final long DEMAND_TIME_CONSTANT_NANOS = 1_000_000_000L;
-    private static final long SHARE_LIFETIME_NANOS = 3_000_000_000L;
     private static final Duration CONCURRENCY_RETRY_AFTER = Duration.ofMillis(500);
 
     private final DecayingRate requestDemand;
@@ -94,10 +92,6 @@
         running--;
     }
 
-    InstanceName entry() {
-        return share.entry();
-    }
-
     boolean idle(long nowNanos) {
         return running == 0 && requestDemand.perSecond(nowNanos) < 1e-3;
     }
@@ -107,8 +101,8 @@
     }
 
     private void expireShare(long nowNanos) {
-        if (nowNanos - shareAtNanos > SHARE_LIFETIME_NANOS) {
-            setShare(share.outdated(), nowNanos);
+        if (nowNanos - shareAtNanos > LimitGate.SHARE_LIFETIME_NANOS) {
+            setShare(LimitShare.equal(share.entry(), limits.scope(), share.entries()), nowNanos);
         }
     }
 
--- a/scheduler/src/main/java/org/cowslippick/scheduler/pool/InFlightTable.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/pool/InFlightTable.java
@@ -54,6 +54,9 @@
         if (report.betweenTokensNanos() > 0 && report.phase().ended()) {
             endpoints.observeBetweenTokens(attempt.tracker(), report.betweenTokensNanos(), nowNanos);
         }
+        if (report.phase() == DispatchPhase.FINISHED) {
+            endpoints.observeSuccess(attempt.tracker(), nowNanos);
+        }
         if (report.phase() == DispatchPhase.CRASHED) {
             crashes.crashed(attempt, nowNanos);
         }
--- a/scheduler/src/test/java/org/cowslippick/scheduler/limit/LimitGateTest.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/limit/LimitGateTest.java
@@ -92,7 +92,7 @@
     }
 
     @Test
-    void aShareThatIsNotRenewedShrinksToAnEqualPart() {
+    void aShareThatIsNotRenewedGivesWayToAnEqualPart() {
         LimitGate gate = new LimitGate(entry(0), ENTRIES);
         ImmutableList<Limits> limits = ImmutableList.of(BY_CONCURRENCY);
         assertTrue(gate.tryAdmit(limits, 1, 0).isEmpty());
@@ -113,10 +113,12 @@
             return;
         }
         long now = step * STEP_NANOS;
-        ImmutableList<DemandReport> reports =
-                gates.stream().flatMap(gate -> gate.demand(now).stream()).collect(ImmutableList.toImmutableList());
-        int quiet = ENTRIES - reports.size();
-        ShareAllocator.allocate(BY_RATE, reports, quiet)
+        ImmutableList<DemandReport> reports = IntStream.range(0, ENTRIES)
+                .mapToObj(number -> gates.get(number).demand(now).stream()
+                        .findFirst()
+                        .orElseGet(() -> new DemandReport(entry(number), SCOPE, Demand.NONE)))
+                .collect(ImmutableList.toImmutableList());
+        ShareAllocator.allocate(BY_RATE, reports, 0)
                 .forEach(share ->
                         gates.get(Integer.parseInt(share.entry().value())).apply(share, now));
     }
--- a/scheduler/src/test/java/org/cowslippick/scheduler/pool/PoolHarness.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/pool/PoolHarness.java
@@ -66,6 +66,17 @@
         return provedNotStarted.count(id);
     }
 
+    void report(DispatchReport report) {
+        running.removeIf(grant -> report.phase().ended()
+                && grant.request().equals(report.request())
+                && grant.endpoint().equals(report.endpoint()));
+        take(pool.report(report, nowNanos));
+    }
+
+    PoolSnapshot snapshot() {
+        return pool.snapshot(nowNanos);
+    }
+
     RequestDescriptor descriptor(RequestId id) {
         return offered.get(id);
     }
--- a/scheduler/src/test/java/org/cowslippick/scheduler/pool/Samples.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/pool/Samples.java
@@ -80,6 +80,27 @@
                 id.hashCode());
     }
 
+    /** The same request with other prefix hashes and another content. */
+    public static RequestDescriptor withContent(
+            RequestDescriptor request, ImmutableList<Long> prefixHashes, long contentFingerprint) {
+        return new RequestDescriptor(
+                request.id(),
+                request.entry(),
+                request.callerRegion(),
+                request.organisation(),
+                request.service(),
+                request.tier(),
+                request.dispatchRule(),
+                request.arrivalNanos(),
+                request.firstTokenNanos(),
+                request.deadlineNanos(),
+                request.promptTokens(),
+                request.answerTokens(),
+                request.crossRegion(),
+                prefixHashes,
+                contentFingerprint);
+    }
+
     public static DispatchReport report(Grant grant, DispatchPhase phase) {
         return new DispatchReport(
                 grant.request(), grant.endpoint(), phase, 50 * MILLISECOND, 10 * MILLISECOND, 50, true);
--- /dev/null
+++ b/scheduler/src/test/resources/features/limits.feature
@@ -0,0 +1,19 @@
+Feature: A limit holds over all entries and follows demand
+
+  Scenario: Shares follow demand and add up to the limit
+    Given 4 entries that share a limit of 8 requests at once
+    When 20 requests arrive at entry 0
+    Then 2 requests run
+    When the shares are allocated
+    And 20 requests arrive at entry 0
+    Then 8 requests run
+    When 20 requests arrive at entry 1
+    Then 8 requests run
+
+  Scenario: An entry that hears nothing falls back to an equal part
+    Given 4 entries that share a limit of 8 requests at once
+    When 1 requests arrive at entry 0
+    And the shares are allocated
+    And 10000 ms pass without shares
+    And 20 requests arrive at entry 0
+    Then 2 requests run
