A quiet watch is not taken for the probe of a platform that comes back

Cause: after a failure a watch could be let through as the one probe; a watch that brings nothing never ends the probing, so every later call of the process was refused. Conclusion: aQuietWatchIsNotTakenForTheProbe passes; the code before had the fault by reading, not by a run.

--- a/fleet/src/main/java/org/cowslippick/fleet/platform/BudgetedPlatform.java
+++ b/fleet/src/main/java/org/cowslippick/fleet/platform/BudgetedPlatform.java
@@ -57,7 +57,7 @@
     @Override
     public Subscription watch(String kind, long afterVersion, WatchListener listener) {
         long now = timer.nanoTime();
-        OptionalLong wait = gate.admit(now);
+        OptionalLong wait = gate.admitWatch(now);
         if (wait.isEmpty()) {
             return timer.after(gate.closedFor(now), () -> listener.ended(PlatformFault.UNAVAILABLE));
         }
--- a/fleet/src/main/java/org/cowslippick/fleet/platform/CallGate.java
+++ b/fleet/src/main/java/org/cowslippick/fleet/platform/CallGate.java
@@ -23,6 +23,7 @@
     private long closedUntilNanos;
     private int failures;
     private boolean probing;
+    private long probedNanos;
 
     CallGate(double callsPerSecond, int burst, long nowNanos, RandomGenerator random) {
         this.intervalNanos = (long) (TimeUnit.SECONDS.toNanos(1) / callsPerSecond);
@@ -71,11 +72,21 @@
         return Duration.ofNanos(Math.max(FIRST_BACKOFF_NANOS, closedUntilNanos - nowNanos));
     }
 
+    /** Like {@link #admit}, but it never counts as the probe, as a watch may stay quiet for long. */
+    synchronized OptionalLong admitWatch(long nowNanos) {
+        if (failures > 0) {
+            return nowNanos - closedUntilNanos < 0 ? OptionalLong.empty() : OptionalLong.of(0);
+        }
+        return admit(nowNanos);
+    }
+
     private OptionalLong probe(long nowNanos) {
-        if (probing || nowNanos - closedUntilNanos < 0) {
+        boolean probed = probing && nowNanos - probedNanos < MAXIMUM_BACKOFF_NANOS;
+        if (probed || nowNanos - closedUntilNanos < 0) {
             return OptionalLong.empty();
         }
         probing = true;
+        probedNanos = nowNanos;
         return OptionalLong.of(0);
     }
 }
--- a/fleet/src/test/java/org/cowslippick/fleet/platform/BudgetedPlatformTest.java
+++ b/fleet/src/test/java/org/cowslippick/fleet/platform/BudgetedPlatformTest.java
@@ -56,6 +56,30 @@
         assertEquals(Either.left(PlatformFault.NOT_FOUND), platform.get(KEY).join());
     }
 
+    @Test
+    void aQuietWatchIsNotTakenForTheProbe() {
+        BudgetedPlatform platform = budgeted(1);
+        fake.down(true);
+        platform.get(KEY).join();
+        fake.down(false);
+        timer.advance(Duration.ofSeconds(10));
+        platform.watch("kind", 0, new Ignoring());
+        assertEquals(Either.left(PlatformFault.NOT_FOUND), platform.get(KEY).join());
+    }
+
+    @Test
+    void aRefusedWatchEndsWhenTheGateMayOpen() {
+        BudgetedPlatform platform = budgeted(1);
+        fake.down(true);
+        platform.get(KEY).join();
+        Ignoring listener = new Ignoring();
+        platform.watch("kind", 0, listener);
+        assertEquals(0, listener.ends);
+        timer.advance(Duration.ofSeconds(1));
+        assertEquals(1, listener.ends);
+        assertEquals(1, fake.calls());
+    }
+
     @Test
     void processesProbeAtDifferentTimes() {
         fake.down(true);
@@ -75,4 +99,19 @@
     private BudgetedPlatform budgeted(long seed) {
         return new BudgetedPlatform(fake, timer, 10, 5, new SplittableRandom(seed));
     }
+
+    private static final class Ignoring implements WatchListener {
+        private int ends;
+
+        @Override
+        public void changed(StoredObject _object) {}
+
+        @Override
+        public void deleted(ObjectKey _key, long _version) {}
+
+        @Override
+        public void ended(PlatformFault _reason) {
+            ends++;
+        }
+    }
 }
