--- a/standin/src/main/java/org/cowslippick/standin/bench/CallOutcome.java
+++ b/standin/src/main/java/org/cowslippick/standin/bench/CallOutcome.java
@@ -11,6 +11,7 @@
  * @param tokens how many tokens came
  * @param whole whether the answer is complete and has as many tokens as were asked for
  * @param queueMilliseconds the time in the queue by the receipt; 0 without one
+ * @param entryFirstTokenMilliseconds the time from arrival to first token by the receipt; 0 without one
  * @param error the kind of the error, if one was answered
  */
 record CallOutcome(
@@ -21,6 +22,7 @@
         int tokens,
         boolean whole,
         long queueMilliseconds,
+        long entryFirstTokenMilliseconds,
         Optional<String> error) {
 
     /** Whether the caller got all that the tier promises: first token, time between tokens, and deadline. */
--- a/standin/src/main/java/org/cowslippick/standin/bench/CallerHandler.java
+++ b/standin/src/main/java/org/cowslippick/standin/bench/CallerHandler.java
@@ -32,6 +32,7 @@
     private long firstTokenNanos;
     private long lastTokenNanos;
     private long queueMilliseconds;
+    private long entryFirstTokenMilliseconds;
     private Optional<String> error = Optional.empty();
 
     CallerHandler(TracedRequest request, long intendedNanos, long sentNanos, CompletableFuture<CallOutcome> outcome) {
@@ -98,12 +99,18 @@
         } else if (line.startsWith("{\"error\":", DATA.length())) {
             error = errorKind(line.substring(DATA.length()));
         } else if (line.contains(QUEUE_MARK)) {
-            queueMilliseconds = Json.read(line.substring(DATA.length()))
-                    .map(receipt -> receipt.path("queueMilliseconds").asLong())
-                    .orElse(0L);
+            readReceipt(line.substring(DATA.length()));
         }
     }
 
+    private void readReceipt(String text) {
+        Json.read(text).ifPresent(receipt -> {
+            queueMilliseconds = receipt.path("queueMilliseconds").asLong();
+            entryFirstTokenMilliseconds =
+                    receipt.path("timeToFirstTokenMilliseconds").asLong();
+        });
+    }
+
     private void end() {
         if (status != OK_STATUS) {
             error = errorKind(unread.toString());
@@ -120,6 +127,7 @@
                 tokens,
                 error.isEmpty() && tokens == request.answerTokens(),
                 queueMilliseconds,
+                entryFirstTokenMilliseconds,
                 error));
     }
 
--- a/standin/src/test/java/org/cowslippick/standin/bench/BenchReportTest.java
+++ b/standin/src/test/java/org/cowslippick/standin/bench/BenchReportTest.java
@@ -96,6 +96,7 @@
                 tokens,
                 whole,
                 0,
+                0,
                 Optional.empty());
     }
 }
