Peer network over TCP with an authenticated, versioned hello

Change: Netty connections with length framing, a hello in which both ends prove a shared key by HMAC and keys can rotate, bounded queues, backoff with jitter, and heartbeats; a connection without answers is replaced by a new one. Ruled out: an early form replaced the codec before the hello handler was removed, so that messages that came in one read with the proof were refused as out of order; the test of delivery found it. Conclusion: garbage, cut and oversized frames close their connection only; wrong keys and wrong instances are refused.

--- /dev/null
+++ b/fleet/src/main/java/org/cowslippick/fleet/peer/InboundHandler.java
@@ -0,0 +1,51 @@
+package org.cowslippick.fleet.peer;
+
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.function.BiConsumer;
+import org.cowslippick.core.timeline.Timeline;
+import org.cowslippick.fleet.wire.Envelope;
+import org.cowslippick.fleet.wire.Heartbeat;
+import org.cowslippick.fleet.wire.HeartbeatAnswer;
+import org.cowslippick.fleet.wire.PeerMessage;
+import org.jboss.logging.Logger;
+
+/** Receives the messages of an accepted, authenticated connection and answers its heartbeats. */
+final class InboundHandler extends SimpleChannelInboundHandler<Envelope> {
+
+    private static final Logger LOGGER = Logger.getLogger("cowslippick.peer");
+
+    private final PeerIdentity peer;
+    private final Timeline timeline;
+    private final BiConsumer<PeerIdentity, PeerMessage> delivery;
+
+    InboundHandler(PeerIdentity peer, Timeline timeline, BiConsumer<PeerIdentity, PeerMessage> delivery) {
+        this.peer = peer;
+        this.timeline = timeline;
+        this.delivery = delivery;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Envelope envelope) {
+        timeline.witness(envelope.logicalTime());
+        if (envelope.message() instanceof Heartbeat) {
+            Channels.send(context, new Envelope(timeline.logicalTime(), new HeartbeatAnswer()));
+        } else {
+            deliver(envelope.message());
+        }
+    }
+
+    // A failing handler is a fault of this process, not of the peer, so the connection stays.
+    @SuppressWarnings("CatchBlockLogException")
+    private void deliver(PeerMessage message) {
+        try {
+            delivery.accept(peer, message);
+        } catch (RuntimeException failure) {
+            LOGGER.errorf(
+                    failure,
+                    "Handler failed. peer=%s message=%s",
+                    peer.name(),
+                    message.getClass().getSimpleName());
+        }
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/cowslippick/fleet/peer/PeerDirectory.java
@@ -0,0 +1,11 @@
+package org.cowslippick.fleet.peer;
+
+import com.google.common.net.HostAndPort;
+import java.util.Optional;
+import org.cowslippick.core.world.InstanceName;
+
+/** Knows where to connect to an entry. */
+@FunctionalInterface
+public interface PeerDirectory {
+    Optional<HostAndPort> peerAddress(InstanceName name);
+}
--- /dev/null
+++ b/fleet/src/main/java/org/cowslippick/fleet/wire/Hello.java
@@ -0,0 +1,65 @@
+package org.cowslippick.fleet.wire;
+
+import com.google.common.collect.ImmutableList;
+import org.cowslippick.core.world.Incarnation;
+import org.cowslippick.core.world.InstanceName;
+import org.cowslippick.core.world.Region;
+
+/**
+ * The first message of whoever opens a connection.
+ *
+ * @param nonce random text that the other end has to authenticate
+ * @param keys names of the cluster keys that the sender holds
+ */
+public record Hello(Versions versions, Sender sender, String nonce, ImmutableList<String> keys) implements PeerMessage {
+
+    static final MessageType<Hello> TYPE =
+            new MessageType<>(1, Hello.class, Priority.ESSENTIAL, Hello::encode, Hello::decode);
+
+    /** The protocol versions that a process speaks. */
+    public record Versions(int lowest, int highest) {
+
+        public static final Versions CURRENT = new Versions(1, 1);
+
+        /** Whether there is a version that both speak. */
+        public boolean overlap(Versions other) {
+            return Math.max(lowest, other.lowest) <= Math.min(highest, other.highest);
+        }
+
+        /** The highest version that both speak. */
+        public int common(Versions other) {
+            return Math.min(highest, other.highest);
+        }
+    }
+
+    /** Who sends a hello. */
+    public record Sender(InstanceName name, Incarnation incarnation, Region region) {
+
+        static void encode(Sender sender, MessageWriter writer) {
+            writer.text(sender.name.value());
+            writer.number(sender.incarnation.number());
+            writer.text(sender.region.name());
+        }
+
+        static Sender decode(MessageReader reader) {
+            return new Sender(
+                    new InstanceName(reader.text()), new Incarnation(reader.number()), new Region(reader.text()));
+        }
+    }
+
+    private static void encode(Hello hello, MessageWriter writer) {
+        writer.number(hello.versions.lowest);
+        writer.number(hello.versions.highest);
+        Sender.encode(hello.sender, writer);
+        writer.text(hello.nonce);
+        writer.list(hello.keys, (key, keys) -> keys.text(key));
+    }
+
+    private static Hello decode(MessageReader reader) {
+        return new Hello(
+                new Versions(reader.integer(), reader.integer()),
+                Sender.decode(reader),
+                reader.text(),
+                reader.list(MessageReader::text));
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/cowslippick/fleet/wire/HelloProof.java
@@ -0,0 +1,12 @@
+package org.cowslippick.fleet.wire;
+
+/** The last message of the hello: whoever opened the connection proves that it holds the shared key as well. */
+public record HelloProof(String proof) implements PeerMessage {
+
+    static final MessageType<HelloProof> TYPE = new MessageType<>(
+            3,
+            HelloProof.class,
+            Priority.ESSENTIAL,
+            (message, writer) -> writer.text(message.proof),
+            reader -> new HelloProof(reader.text()));
+}
