--- /dev/null
+++ b/fleet/src/main/java/org/cowslippick/fleet/grant/Adoption.java
@@ -0,0 +1,44 @@
+package org.cowslippick.fleet.grant;
+
+import org.cowslippick.core.request.RequestDescriptor;
+import org.cowslippick.core.world.EndpointName;
+import org.cowslippick.core.world.PoolKey;
+import org.cowslippick.fleet.wire.MessageType;
+import org.cowslippick.fleet.wire.Priority;
+
+/**
+ * A request is in flight under a grant that this owner may not know of.
+ *
+ * @param request its arrival has no meaning here
+ * @param ageNanos how long ago the request arrived
+ * @param dispatchAgeNanos how long ago the attempt was dispatched
+ */
+record Adoption(
+        PoolKey pool,
+        RequestDescriptor request,
+        EndpointName endpoint,
+        int attempt,
+        long ageNanos,
+        long dispatchAgeNanos)
+        implements PoolMessage {
+
+    static final MessageType<Adoption> TYPE = new MessageType<>(
+            19,
+            Adoption.class,
+            Priority.ESSENTIAL,
+            (adoption, writer) -> {
+                DescriptorCodec.encode(adoption.pool, writer);
+                DescriptorCodec.encode(adoption.request, writer);
+                writer.text(adoption.endpoint.value());
+                writer.number(adoption.attempt);
+                writer.number(adoption.ageNanos);
+                writer.number(adoption.dispatchAgeNanos);
+            },
+            reader -> new Adoption(
+                    DescriptorCodec.decodePool(reader),
+                    DescriptorCodec.decode(reader),
+                    new EndpointName(reader.text()),
+                    reader.integer(),
+                    reader.number(),
+                    reader.number()));
+}
--- /dev/null
+++ b/fleet/src/main/java/org/cowslippick/fleet/grant/Decisions.java
@@ -0,0 +1,22 @@
+package org.cowslippick.fleet.grant;
+
+import com.google.common.collect.ImmutableList;
+import org.cowslippick.scheduler.pool.Grant;
+import org.cowslippick.scheduler.pool.PoolDecisions;
+import org.cowslippick.scheduler.pool.Refusal;
+
+/** Joins the decisions of several calls to a scheduler within one step. */
+final class Decisions {
+
+    private final ImmutableList.Builder<Grant> grants = ImmutableList.builder();
+    private final ImmutableList.Builder<Refusal> refusals = ImmutableList.builder();
+
+    void add(PoolDecisions decisions) {
+        grants.addAll(decisions.grants());
+        refusals.addAll(decisions.refusals());
+    }
+
+    PoolDecisions toPoolDecisions() {
+        return new PoolDecisions(grants.build(), refusals.build());
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/cowslippick/fleet/grant/Granted.java
@@ -0,0 +1,40 @@
+package org.cowslippick.fleet.grant;
+
+import org.cowslippick.core.request.RequestId;
+import org.cowslippick.core.world.EndpointName;
+import org.cowslippick.core.world.InstanceName;
+import org.cowslippick.core.world.PoolKey;
+import org.cowslippick.fleet.wire.MessageType;
+import org.cowslippick.fleet.wire.Priority;
+import org.cowslippick.scheduler.pool.Grant;
+
+/**
+ * The owner of a pool granted an attempt.
+ *
+ * @param epoch the owner's; entries ignore grants older than the newest epoch that they have seen
+ */
+record Granted(PoolKey pool, Grant grant, long epoch) implements PoolMessage {
+
+    static final MessageType<Granted> TYPE = new MessageType<>(
+            22,
+            Granted.class,
+            Priority.ESSENTIAL,
+            (granted, writer) -> {
+                DescriptorCodec.encode(granted.pool, writer);
+                writer.text(granted.grant.request().value());
+                writer.text(granted.grant.entry().value());
+                writer.text(granted.grant.endpoint().value());
+                writer.number(granted.grant.attempt());
+                writer.constant(granted.grant.reason());
+                writer.number(granted.epoch);
+            },
+            reader -> new Granted(
+                    DescriptorCodec.decodePool(reader),
+                    new Grant(
+                            new RequestId(reader.text()),
+                            new InstanceName(reader.text()),
+                            new EndpointName(reader.text()),
+                            reader.integer(),
+                            reader.constant(Grant.Reason.class)),
+                    reader.number()));
+}
--- /dev/null
+++ b/fleet/src/main/java/org/cowslippick/fleet/grant/Offer.java
@@ -0,0 +1,37 @@
+package org.cowslippick.fleet.grant;
+
+import org.cowslippick.core.request.RequestDescriptor;
+import org.cowslippick.core.world.PoolKey;
+import org.cowslippick.fleet.wire.MessageType;
+import org.cowslippick.fleet.wire.Priority;
+
+/**
+ * A request waits for a grant; sent again after an owner change or a lost connection.
+ *
+ * @param request its arrival has no meaning here
+ * @param ageNanos how long ago the request arrived
+ * @param newestEpoch the newest epoch of the pool that the sender has seen
+ * @param used the last grant of the request that the sender used, so that a lost report of its end does no harm
+ */
+record Offer(PoolKey pool, RequestDescriptor request, long ageNanos, long newestEpoch, GrantNumber used)
+        implements PoolMessage {
+
+    static final MessageType<Offer> TYPE = new MessageType<>(
+            16,
+            Offer.class,
+            Priority.ESSENTIAL,
+            (offer, writer) -> {
+                DescriptorCodec.encode(offer.pool, writer);
+                DescriptorCodec.encode(offer.request, writer);
+                writer.number(offer.ageNanos);
+                writer.number(offer.newestEpoch);
+                writer.number(offer.used.epoch());
+                writer.number(offer.used.attempt());
+            },
+            reader -> new Offer(
+                    DescriptorCodec.decodePool(reader),
+                    DescriptorCodec.decode(reader),
+                    reader.number(),
+                    reader.number(),
+                    new GrantNumber(reader.number(), reader.integer())));
+}
--- /dev/null
+++ b/fleet/src/main/java/org/cowslippick/fleet/grant/Refused.java
@@ -0,0 +1,41 @@
+package org.cowslippick.fleet.grant;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.cowslippick.core.error.ErrorKind;
+import org.cowslippick.core.error.Failure;
+import org.cowslippick.core.request.RequestId;
+import org.cowslippick.core.world.PoolKey;
+import org.cowslippick.fleet.wire.MessageReader;
+import org.cowslippick.fleet.wire.MessageType;
+import org.cowslippick.fleet.wire.Priority;
+
+/** The owner of a pool refused a request or a further attempt of it. */
+record Refused(PoolKey pool, RequestId request, Failure failure, long epoch) implements PoolMessage {
+
+    static final MessageType<Refused> TYPE = new MessageType<>(
+            23,
+            Refused.class,
+            Priority.ESSENTIAL,
+            (refused, writer) -> {
+                DescriptorCodec.encode(refused.pool, writer);
+                writer.text(refused.request.value());
+                writer.constant(refused.failure.kind());
+                writer.text(refused.failure.detail());
+                writer.flag(refused.failure.retryAfter().isPresent());
+                refused.failure.retryAfter().ifPresent(delay -> writer.number(delay.toNanos()));
+                writer.number(refused.epoch);
+            },
+            reader -> new Refused(
+                    DescriptorCodec.decodePool(reader),
+                    new RequestId(reader.text()),
+                    decodeFailure(reader),
+                    reader.number()));
+
+    private static Failure decodeFailure(MessageReader reader) {
+        return new Failure(
+                reader.constant(ErrorKind.class),
+                reader.text(),
+                reader.flag() ? Optional.of(Duration.ofNanos(reader.number())) : Optional.empty());
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/cowslippick/fleet/grant/ResyncWanted.java
@@ -0,0 +1,16 @@
+package org.cowslippick.fleet.grant;
+
+import org.cowslippick.core.world.PoolKey;
+import org.cowslippick.fleet.wire.MessageType;
+import org.cowslippick.fleet.wire.Priority;
+
+/** The owner may have lost messages to the receiver and asks it to repeat what it has in the pool. */
+record ResyncWanted(PoolKey pool) implements PoolMessage {
+
+    static final MessageType<ResyncWanted> TYPE = new MessageType<>(
+            21,
+            ResyncWanted.class,
+            Priority.ESSENTIAL,
+            (wanted, writer) -> DescriptorCodec.encode(wanted.pool, writer),
+            reader -> new ResyncWanted(DescriptorCodec.decodePool(reader)));
+}
--- a/fleet/src/main/java/org/cowslippick/fleet/peer/OutboundConnection.java
+++ b/fleet/src/main/java/org/cowslippick/fleet/peer/OutboundConnection.java
@@ -79,7 +79,7 @@
         lastReceivedNanos = nowNanos;
     }
 
-    /** Closes the channel if it is silent or unused, and asks for a heartbeat otherwise. */
+    /** Closes the channel if it is silent or has long been unused, and asks for a heartbeat otherwise. */
     Check check(long nowNanos, long logicalTime) {
         Optional<Channel> channel = open;
         if (channel.isEmpty()) {
--- /dev/null
+++ b/fleet/src/test/java/org/cowslippick/fleet/membership/SettableMembership.java
@@ -0,0 +1,33 @@
+package org.cowslippick.fleet.membership;
+
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import org.cowslippick.core.time.TimerService.Subscription;
+
+/** A view of the fleet that a test sets. */
+public final class SettableMembership implements MembershipSource {
+
+    private final List<Consumer<Membership>> consumers = new CopyOnWriteArrayList<>();
+    private Membership current;
+
+    public SettableMembership(Membership current) {
+        this.current = current;
+    }
+
+    public void set(Membership changed) {
+        current = changed;
+        consumers.forEach(consumer -> consumer.accept(changed));
+    }
+
+    @Override
+    public Membership current() {
+        return current;
+    }
+
+    @Override
+    public Subscription subscribe(Consumer<Membership> consumer) {
+        consumers.add(consumer);
+        return () -> consumers.remove(consumer);
+    }
+}
