--- /dev/null
+++ b/fleet/src/main/java/org/cowslippick/fleet/membership/MemberRecord.java
@@ -0,0 +1,94 @@
+package org.cowslippick.fleet.membership;
+
+import com.google.common.net.HostAndPort;
+import org.cowslippick.core.world.FailureDomain;
+import org.cowslippick.core.world.Incarnation;
+import org.cowslippick.core.world.Instance;
+import org.cowslippick.core.world.InstanceName;
+import org.cowslippick.core.world.Region;
+import org.cowslippick.fleet.wire.MessageReader;
+import org.cowslippick.fleet.wire.MessageWriter;
+
+/**
+ * What is known of one run of an entry. Records of one instance form a join-semilattice: the order in which they are
+ * merged does not matter, a higher incarnation replaces a lower one, and within an incarnation {@code gone} and
+ * {@code leaving} never revert.
+ *
+ * @param refutations how often the entry itself contradicted a suspicion
+ */
+record MemberRecord(
+        Instance instance, Incarnation incarnation, int refutations, boolean suspected, boolean leaving, boolean gone) {
+
+    static MemberRecord live(Instance instance, Incarnation incarnation) {
+        return new MemberRecord(instance, incarnation, 0, false, false, false);
+    }
+
+    InstanceName name() {
+        return instance.name();
+    }
+
+    MemberRecord merge(MemberRecord other) {
+        int newer = incarnation.compareTo(other.incarnation);
+        if (newer != 0) {
+            return newer > 0 ? this : other;
+        }
+        boolean doubt = refutations == other.refutations
+                ? suspected || other.suspected
+                : refutations > other.refutations ? suspected : other.suspected;
+        return new MemberRecord(
+                instance,
+                incarnation,
+                Math.max(refutations, other.refutations),
+                doubt,
+                leaving || other.leaving,
+                gone || other.gone);
+    }
+
+    MemberRecord suspect() {
+        return new MemberRecord(instance, incarnation, refutations, true, leaving, gone);
+    }
+
+    MemberRecord refute() {
+        return new MemberRecord(instance, incarnation, refutations + 1, false, leaving, gone);
+    }
+
+    MemberRecord leave() {
+        return new MemberRecord(instance, incarnation, refutations, suspected, true, gone);
+    }
+
+    MemberRecord end() {
+        return new MemberRecord(instance, incarnation, refutations, suspected, leaving, true);
+    }
+
+    Member toMember() {
+        Member.Standing doubt = suspected ? Member.Standing.SUSPECTED : Member.Standing.LIVE;
+        return new Member(instance, incarnation, leaving ? Member.Standing.LEAVING : doubt);
+    }
+
+    static void encode(MemberRecord record, MessageWriter writer) {
+        writer.text(record.instance.name().value());
+        writer.text(record.instance.failureDomain().name());
+        writer.text(record.instance.region().name());
+        writer.address(record.instance.callerAddress());
+        writer.address(record.instance.peerAddress());
+        writer.number(record.incarnation.number());
+        writer.number(record.refutations);
+        writer.flag(record.suspected);
+        writer.flag(record.leaving);
+        writer.flag(record.gone);
+    }
+
+    static MemberRecord decode(MessageReader reader) {
+        InstanceName name = new InstanceName(reader.text());
+        FailureDomain domain = new FailureDomain(reader.text(), new Region(reader.text()));
+        HostAndPort callers = reader.address();
+        HostAndPort peers = reader.address();
+        return new MemberRecord(
+                new Instance(name, domain, callers, peers),
+                new Incarnation(reader.number()),
+                reader.integer(),
+                reader.flag(),
+                reader.flag(),
+                reader.flag());
+    }
+}
--- /dev/null
+++ b/fleet/src/main/java/org/cowslippick/fleet/membership/MembershipMessages.java
@@ -0,0 +1,12 @@
+package org.cowslippick.fleet.membership;
+
+import com.google.common.collect.ImmutableSet;
+import org.cowslippick.fleet.wire.MessageType;
+
+/** The messages of membership. */
+public final class MembershipMessages {
+
+    public static final ImmutableSet<MessageType<?>> TYPES = ImmutableSet.of(Gossip.TYPE);
+
+    private MembershipMessages() {}
+}
