--- a/core/src/main/java/org/cowslippick/core/error/ErrorKind.java
+++ b/core/src/main/java/org/cowslippick/core/error/ErrorKind.java
@@ -28,6 +28,8 @@
     ENDPOINT_REFUSED(503, Outcome.NOT_RUN, Advice.RETRY, "The endpoint refused the request before it started it."),
     CANCELLED_BEFORE_DISPATCH(499, Outcome.NOT_RUN, Advice.NONE, "The caller cancelled while the request was queued."),
     ALREADY_DISPATCHED(409, Outcome.UNKNOWN, Advice.ASK, "A request with this identity was dispatched before."),
+    TICKET_OF_ANOTHER_ENTRY(
+            421, Outcome.UNKNOWN, Advice.RETRY_ELSEWHERE, "Only the entry that issued the ticket knows the outcome."),
     CANCELLED_AFTER_DISPATCH(499, Outcome.UNKNOWN, Advice.ASK, "The caller cancelled after dispatch."),
     ENDPOINT_FAILED(502, Outcome.UNKNOWN, Advice.ASK, "The endpoint failed after the request was sent."),
     ENDPOINT_SILENT(504, Outcome.UNKNOWN, Advice.ASK, "The endpoint made no progress after the request was sent."),
--- a/entry/src/main/java/org/cowslippick/entry/door/AddressesHandler.java
+++ b/entry/src/main/java/org/cowslippick/entry/door/AddressesHandler.java
@@ -3,7 +3,6 @@
 import com.google.common.collect.ImmutableList;
 import io.vavr.control.Either;
 import org.cowslippick.core.error.Failure;
-import org.cowslippick.core.world.Service;
 import org.cowslippick.entry.request.Admission;
 import ratpack.handling.Context;
 import ratpack.handling.Handler;
@@ -25,14 +24,16 @@
     @Override
     public void handle(Context context) {
         String name = context.getRequest().getQueryParams().get("service");
-        Either<Failure, Service> service = admission
+        Either<Failure, AddressBook.Answer> found = admission
                 .organisation(Answers.header(context, "Authorization"))
-                .flatMap(_organisation -> admission.service(name == null ? "" : name));
-        if (service.isLeft()) {
-            Answers.error(context, service.getLeft());
+                .flatMap(organisation -> admission
+                        .service(name == null ? "" : name)
+                        .map(service -> addresses.addresses(organisation, service)));
+        if (found.isLeft()) {
+            Answers.error(context, found.getLeft());
             return;
         }
-        AddressBook.Answer answer = addresses.addresses(service.get());
+        AddressBook.Answer answer = found.get();
         Answers.json(
                 context,
                 200,
--- /dev/null
+++ b/entry/src/main/java/org/cowslippick/entry/log/package-info.java
@@ -0,0 +1,2 @@
+/** How the log of an entry process looks. */
+package org.cowslippick.entry.log;
--- a/entry/src/main/java/org/cowslippick/entry/request/Admission.java
+++ b/entry/src/main/java/org/cowslippick/entry/request/Admission.java
@@ -2,15 +2,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
-import com.google.common.primitives.Longs;
 import io.vavr.control.Either;
 import java.util.Optional;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
-import java.util.stream.StreamSupport;
 import org.cowslippick.core.error.ErrorKind;
 import org.cowslippick.core.error.Failure;
-import org.cowslippick.core.request.IdempotencyKey;
 import org.cowslippick.core.request.RequestDescriptor;
 import org.cowslippick.core.request.RequestId;
 import org.cowslippick.core.settings.SettingsTree;
@@ -20,28 +16,26 @@
 import org.cowslippick.core.world.Instance;
 import org.cowslippick.core.world.OrganisationName;
 import org.cowslippick.core.world.PoolKey;
-import org.cowslippick.core.world.Region;
 import org.cowslippick.core.world.Service;
 import org.cowslippick.core.world.ServiceName;
 import org.cowslippick.core.world.Tier;
 import org.cowslippick.entry.endpoint.EndpointCall;
 import org.cowslippick.entry.endpoint.Json;
+import org.cowslippick.fleet.claim.TicketCodec;
 
 /** Checks who sends a request, what it may use and whether it is well formed. */
 public final class Admission {
 
     private static final String BEARER = "Bearer ";
-    private static final int DEFAULT_ANSWER_TOKENS = 256;
-    private static final int MAXIMUM_ANSWER_TOKENS = 131_072;
-    private static final long NANOS_PER_MILLISECOND = 1_000_000L;
-    private static final long MAXIMUM_DEADLINE_MILLISECONDS = 86_400_000L;
 
     private final Instance self;
     private final TimerService timer;
     private final Supplier<SettingsTree> settings;
+    private final TicketCodec tickets;
 
     /** Creates an admission that always uses the newest settings. */
-    public Admission(Instance self, TimerService timer, Supplier<SettingsTree> settings) {
+    public Admission(Instance self, TimerService timer, Supplier<SettingsTree> settings, TicketCodec tickets) {
+        this.tickets = tickets;
         this.self = self;
         this.timer = timer;
         this.settings = settings;
@@ -117,74 +111,58 @@
 
     private Either<Failure, AdmittedRequest> build(
             CallerHeaders headers, Service service, Contract contract, String body) {
-        Optional<JsonNode> json = Json.read(body);
-        if (json.isEmpty()) {
-            return malformed("the body is not JSON");
-        }
-        Optional<Long> deadlineNanos = deadlineNanos(headers, contract);
-        if (deadlineNanos.isEmpty()) {
-            return malformed("X-Deadline-Milliseconds must be a whole number from 1 to " + MAXIMUM_DEADLINE_MILLISECONDS
-                    + ": " + headers.deadlineMilliseconds().orElse(""));
-        }
-        if (headers.idempotencyKey()
-                .filter(key -> key.isEmpty() || key.length() > IdempotencyKey.MAXIMUM_LENGTH_CHARACTERS)
-                .isPresent()) {
-            return malformed(
-                    "Idempotency-Key must have 1 to " + IdempotencyKey.MAXIMUM_LENGTH_CHARACTERS + " characters");
-        }
-        return service.kind() == EndpointKind.MODEL
-                ? model(headers, service, contract, deadlineNanos.get(), json.get())
-                : Either.right(request(
+        return CheckedHeaders.of(headers, contract, tickets).flatMap(checked -> json(body)
+                .flatMap(json -> service.kind() == EndpointKind.MODEL
+                        ? model(checked, service, contract, json)
+                        : Either.right(application(checked, service, contract, body))));
+    }
+
+    private static Either<Failure, JsonNode> json(String body) {
+        return Json.read(body)
+                .<Either<Failure, JsonNode>>map(Either::right)
+                .orElseGet(() -> Either.left(Failure.of(ErrorKind.MALFORMED_REQUEST, "the body is not JSON")));
+    }
+
+    private Either<Failure, AdmittedRequest> model(
+            CheckedHeaders headers, Service service, Contract contract, JsonNode json) {
+        return ModelBody.parse(json)
+                .map(body -> request(
                         headers,
                         service,
                         contract,
-                        deadlineNanos.get(),
-                        PromptProfile.of(body),
-                        0,
-                        new EndpointCall.ApplicationCall(service.name(), body)));
+                        PromptProfile.of(body.promptText()),
+                        body.answerTokens(),
+                        new EndpointCall.ModelCall(service.model(), body.messages(), body.answerTokens())));
     }
 
-    private Either<Failure, AdmittedRequest> model(
-            CallerHeaders headers, Service service, Contract contract, long deadlineNanos, JsonNode json) {
-        Optional<String> messages = messages(json);
-        if (messages.isEmpty()) {
-            return malformed(
-                    "the body needs \"prompt\" as text, or \"messages\" with \"role\" and \"content\" as text");
-        }
-        int answerTokens = answerTokens(json);
-        if (answerTokens < 1 || answerTokens > MAXIMUM_ANSWER_TOKENS) {
-            return malformed("the answer tokens must be a whole number from 1 to " + MAXIMUM_ANSWER_TOKENS);
-        }
-        return Either.right(request(
+    private AdmittedRequest application(CheckedHeaders headers, Service service, Contract contract, String body) {
+        return request(
                 headers,
                 service,
                 contract,
-                deadlineNanos,
-                PromptProfile.of(promptText(messages.get())),
-                answerTokens,
-                new EndpointCall.ModelCall(service.model(), messages.get(), answerTokens)));
+                PromptProfile.of(body),
+                0,
+                new EndpointCall.ApplicationCall(service.name(), body));
     }
 
     private AdmittedRequest request(
-            CallerHeaders headers,
+            CheckedHeaders headers,
             Service service,
             Contract contract,
-            long deadlineNanos,
             PromptProfile profile,
             int answerTokens,
             EndpointCall call) {
-        Region region = self.region();
         RequestDescriptor descriptor = new RequestDescriptor(
                 RequestId.random(),
                 self.name(),
-                region,
+                self.region(),
                 contract.organisation(),
                 service.name(),
                 contract.tier(),
                 service.dispatchRule(),
                 timer.nanoTime(),
                 contract.firstToken().toNanos(),
-                deadlineNanos,
+                headers.deadlineNanos(),
                 profile.tokens(),
                 answerTokens,
                 contract.crossRegion(),
@@ -193,53 +171,9 @@
         return new AdmittedRequest(
                 descriptor,
                 contract,
-                new PoolKey(service.pool(), region),
+                new PoolKey(service.pool(), self.region()),
                 call,
-                headers.idempotencyKey().map(key -> new IdempotencyKey(contract.organisation(), key)),
+                headers.idempotencyKey(),
                 headers.ticket());
     }
-
-    private static Optional<Long> deadlineNanos(CallerHeaders headers, Contract contract) {
-        if (headers.deadlineMilliseconds().isEmpty()) {
-            return Optional.of(contract.deadline().toNanos());
-        }
-        return Optional.ofNullable(Longs.tryParse(headers.deadlineMilliseconds().get()))
-                .filter(milliseconds -> milliseconds >= 1 && milliseconds <= MAXIMUM_DEADLINE_MILLISECONDS)
-                .map(milliseconds -> milliseconds * NANOS_PER_MILLISECOND);
-    }
-
-    private static int answerTokens(JsonNode json) {
-        JsonNode own = json.path("maximumAnswerTokens");
-        JsonNode openAi = json.path("max_tokens");
-        if (own.isMissingNode() && openAi.isMissingNode()) {
-            return DEFAULT_ANSWER_TOKENS;
-        }
-        JsonNode given = own.isMissingNode() ? openAi : own;
-        return given.canConvertToInt() ? given.asInt() : 0;
-    }
-
-    private static Optional<String> messages(JsonNode json) {
-        JsonNode prompt = json.path("prompt");
-        if (prompt.isTextual()) {
-            return Optional.of("[{\"role\":\"user\",\"content\":" + Json.write(prompt) + "}]");
-        }
-        JsonNode messages = json.path("messages");
-        boolean wellFormed = messages.isArray()
-                && !messages.isEmpty()
-                && StreamSupport.stream(messages.spliterator(), false)
-                        .allMatch(message -> message.path("role").isTextual()
-                                && message.path("content").isTextual());
-        return wellFormed ? Optional.of(Json.write(messages)) : Optional.empty();
-    }
-
-    private static String promptText(String messages) {
-        JsonNode array = Json.read(messages).orElseThrow();
-        return StreamSupport.stream(array.spliterator(), false)
-                .map(message -> message.path("content").asText())
-                .collect(Collectors.joining("\n"));
-    }
-
-    private static Either<Failure, AdmittedRequest> malformed(String detail) {
-        return Either.left(Failure.of(ErrorKind.MALFORMED_REQUEST, detail));
-    }
 }
--- a/entry/src/main/java/org/cowslippick/entry/request/AdmittedRequest.java
+++ b/entry/src/main/java/org/cowslippick/entry/request/AdmittedRequest.java
@@ -7,6 +7,7 @@
 import org.cowslippick.core.world.Contract;
 import org.cowslippick.core.world.PoolKey;
 import org.cowslippick.entry.endpoint.EndpointCall;
+import org.cowslippick.fleet.claim.Ticket;
 
 /** A request whose caller, service, tier and body were checked. */
 public record AdmittedRequest(
@@ -15,7 +16,12 @@
         PoolKey pool,
         EndpointCall call,
         Optional<IdempotencyKey> idempotencyKey,
-        Optional<String> ticket) {
+        Optional<Ticket> ticket) {
+
+    /** Whether the identity of the work must be claimed, because the caller may send it again and it must not rerun. */
+    boolean claimNeeded() {
+        return descriptor.dispatchRule().claimNeeded() && idempotencyKey.isPresent();
+    }
 
     public RequestId id() {
         return descriptor.id();
--- a/entry/src/main/java/org/cowslippick/entry/request/FlowParts.java
+++ b/entry/src/main/java/org/cowslippick/entry/request/FlowParts.java
@@ -10,6 +10,7 @@
 import org.cowslippick.core.world.EndpointName;
 import org.cowslippick.core.world.Instance;
 import org.cowslippick.entry.endpoint.EndpointClient;
+import org.cowslippick.fleet.claim.ClaimClient;
 import org.cowslippick.fleet.grant.GrantClient;
 
 /** What every request of an entry uses. */
@@ -20,6 +21,7 @@
         Supplier<SettingsTree> settings,
         GrantClient grants,
         EndpointClient endpoints,
+        ClaimClient claims,
         RequestOutcomes outcomes,
         Consumer<RequestFlow> whenEnded) {
 
--- a/entry/src/main/java/org/cowslippick/entry/request/RequestDesk.java
+++ b/entry/src/main/java/org/cowslippick/entry/request/RequestDesk.java
@@ -16,6 +16,7 @@
 import org.cowslippick.core.world.Instance;
 import org.cowslippick.core.world.OrganisationName;
 import org.cowslippick.entry.endpoint.EndpointClient;
+import org.cowslippick.fleet.claim.ClaimClient;
 import org.cowslippick.fleet.grant.GrantClient;
 
 /** Starts requests and keeps those in flight at this entry. */
@@ -34,8 +35,9 @@
             Supplier<SettingsTree> settings,
             GrantClient grants,
             EndpointClient endpoints,
+            ClaimClient claims,
             RequestOutcomes outcomes) {
-        this.parts = new FlowParts(self, timer, timeline, settings, grants, endpoints, outcomes, this::ended);
+        this.parts = new FlowParts(self, timer, timeline, settings, grants, endpoints, claims, outcomes, this::ended);
     }
 
     /** Refuses new requests from now on and lets those in flight end. */
--- a/entry/src/main/java/org/cowslippick/entry/request/RequestFlow.java
+++ b/entry/src/main/java/org/cowslippick/entry/request/RequestFlow.java
@@ -9,6 +9,7 @@
 import java.util.function.UnaryOperator;
 import org.cowslippick.core.error.ErrorKind;
 import org.cowslippick.core.error.Failure;
+import org.cowslippick.core.error.Outcome;
 import org.cowslippick.core.request.Receipt;
 import org.cowslippick.core.time.TimerService;
 import org.cowslippick.core.timeline.EventKind;
@@ -18,6 +19,9 @@
 import org.cowslippick.entry.endpoint.Dispatch;
 import org.cowslippick.entry.endpoint.DispatchFault;
 import org.cowslippick.entry.endpoint.DispatchListener;
+import org.cowslippick.fleet.claim.ClaimRequest;
+import org.cowslippick.fleet.claim.ClaimResult;
+import org.cowslippick.fleet.claim.StoredAnswer;
 import org.cowslippick.fleet.grant.GrantListener;
 import org.cowslippick.scheduler.pool.DispatchPhase;
 import org.cowslippick.scheduler.pool.DispatchReport;
@@ -33,6 +37,8 @@
     private final AdmittedRequest request;
     private final AnswerListener listener;
     private final RequestClock clock;
+    private final AnswerText answer;
+    private final AtomicReference<RequestClaim> claim = new AtomicReference<>(RequestClaim.NONE);
     private final AtomicReference<RequestState> state = new AtomicReference<>(RequestState.WAITING);
     private final Map<Attempt, Dispatch> dispatches = new ConcurrentHashMap<>();
     private final AtomicReference<TimerService.Subscription> deadline = new AtomicReference<>(() -> {});
@@ -41,15 +47,62 @@
         this.parts = parts;
         this.request = request;
         this.listener = listener;
+        this.answer = new AnswerText(request);
         this.clock = new RequestClock(parts.timer(), request, parts.self().name());
     }
 
-    /** Queues the request at the owner of its pool. */
+    /** Claims the identity of the request if need be, and queues it at the owner of its pool. */
+    // The future of a claim never completes exceptionally.
+    @SuppressWarnings("FutureReturnValueIgnored")
     void start() {
-        record(EventKind.REQUEST_QUEUED, Optional.empty(), "in pool " + request.pool());
         long left = request.descriptor().deadlineAtNanos() - parts.timer().nanoTime();
         deadline.set(parts.timer().after(Duration.ofNanos(Math.max(left, 0)), this::deadlinePassed));
+        if (request.claimNeeded()) {
+            ClaimRequest wanted =
+                    new ClaimRequest(request.idempotencyKey().orElseThrow(), request.id(), request.ticket());
+            parts.claims().claim(wanted).thenAccept(this::claimed);
+        } else {
+            queue();
+        }
+    }
+
+    private void claimed(ClaimResult result) {
+        if (result instanceof ClaimResult.Granted) {
+            claimGranted();
+        } else if (result instanceof ClaimResult.AlreadyClaimed held
+                && held.answer().isPresent()) {
+            answerAgain(held.answer().get());
+        } else {
+            fail(EventKind.REQUEST_FAILED, _before -> ClaimFailures.of(result));
+        }
+    }
+
+    private void claimGranted() {
+        claim.set(RequestClaim.of(parts.claims(), request.id()));
+        record(EventKind.REQUEST_CLAIMED, Optional.empty(), "");
+        if (state.get().ended()) {
+            claim.get().failed(Outcome.NOT_RUN);
+        } else {
+            queue();
+        }
+    }
+
+    private void queue() {
+        record(EventKind.REQUEST_QUEUED, Optional.empty(), "in pool " + request.pool());
         parts.grants().request(request.pool(), request.descriptor(), this);
+        if (state.get().ended()) {
+            parts.grants().withdraw(request.pool(), request.id());
+        }
+    }
+
+    /** Gives the answer of the earlier request with the same identity; nothing runs. */
+    private void answerAgain(StoredAnswer stored) {
+        if (end(Optional.empty()).ended()) {
+            return;
+        }
+        record(EventKind.REQUEST_ANSWERED, Optional.empty(), "again, from the first answer");
+        parts.ended(this);
+        AnswerText.replay(request, stored, listener, clock.receipt(Optional.empty(), false));
     }
 
     public AdmittedRequest request() {
@@ -78,6 +131,11 @@
             report(attempt, DispatchPhase.CANCELLED, 0, false);
             return;
         }
+        if (!claim.get().dispatched()) {
+            endAttempt(attempt, DispatchPhase.CANCELLED, 0, false);
+            fail(EventKind.REQUEST_FAILED, _before -> ClaimFailures.expired(request.id()));
+            return;
+        }
         clock.dispatched();
         record(EventKind.REQUEST_DISPATCHED, Optional.of(grant.endpoint()), "attempt " + grant.attempt());
         AttemptListener heard = new AttemptListener(attempt, parts.timer().nanoTime());
@@ -116,6 +174,7 @@
         Optional<EndpointName> endpoint = before.winner().map(Attempt::endpoint);
         record(event, endpoint, failure.kind().text());
         Receipt receipt = clock.receipt(endpoint, false);
+        claim.get().failed(failure.kind().outcome());
         parts.outcomes().failed(request, failure, receipt);
         parts.ended(this);
         listener.failed(failure, receipt);
@@ -190,6 +249,7 @@
             }
             if (state.get().wonBy(attempt)) {
                 clock.token();
+                answer.add(text);
                 listener.token(offset, text);
             }
         }
@@ -210,6 +270,7 @@
                 endAttempt(attempt, DispatchPhase.FINISHED, timeToFirstTokenNanos, false);
                 record(EventKind.REQUEST_ANSWERED, Optional.of(attempt.endpoint()), clock.tokens() + " tokens");
                 Receipt receipt = clock.receipt(Optional.of(attempt.endpoint()), true);
+                claim.get().finished(answer.stored(body));
                 parts.outcomes().answered(request, receipt);
                 parts.ended(RequestFlow.this);
                 listener.finished(body, receipt);
@@ -258,7 +319,11 @@
                 return;
             }
             boolean othersRun = before.running().size() > 1;
-            boolean retry = retryAllowed && !before.ended() && !before.wonBy(attempt) && !othersRun;
+            boolean retry = (mayHaveRun || claim.get().refused())
+                    && retryAllowed
+                    && !before.ended()
+                    && !before.wonBy(attempt)
+                    && !othersRun;
             report(attempt, phase, timeToFirstTokenNanos, retry);
             if (!retry && !othersRun) {
                 fail(EventKind.REQUEST_FAILED, found -> found.started().orElse(failure));
--- a/entry/src/test/java/org/cowslippick/entry/request/RequestFlowTest.java
+++ b/entry/src/test/java/org/cowslippick/entry/request/RequestFlowTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
 import java.time.Duration;
 import java.util.List;
@@ -21,6 +22,11 @@
 import org.cowslippick.entry.endpoint.DispatchFault;
 import org.cowslippick.entry.metrics.EntryMetrics;
 import org.cowslippick.entry.record.OnTimeRecord;
+import org.cowslippick.fleet.claim.ClaimPhase;
+import org.cowslippick.fleet.claim.ClaimResult;
+import org.cowslippick.fleet.claim.SigningKeys;
+import org.cowslippick.fleet.claim.StoredAnswer;
+import org.cowslippick.fleet.claim.TicketCodec;
 import org.cowslippick.scheduler.pool.DispatchPhase;
 import org.cowslippick.scheduler.pool.Grant;
 import org.junit.jupiter.api.Test;
@@ -68,6 +74,7 @@
     private final ManualTimerService timer = new ManualTimerService();
     private final FakeGrantClient grants = new FakeGrantClient();
     private final FakeEndpointClient endpoints = new FakeEndpointClient();
+    private final FakeClaimClient claims = new FakeClaimClient();
     private final RecordingAnswer answer = new RecordingAnswer();
     private final SettingsTree tree = SettingsTree.parse(SITE.replace("HASH", SettingsTree.hashOf("secret")))
             .get();
@@ -83,12 +90,18 @@
             () -> tree,
             grants,
             endpoints,
+            claims,
             new RequestOutcomes(new EntryMetrics(), new OnTimeRecord(timer)));
-    private final Admission admission = new Admission(self, timer, () -> tree);
+    private final Admission admission =
+            new Admission(self, timer, () -> tree, new TicketCodec(SigningKeys.of(ImmutableList.of("test-key"))));
 
     private RequestFlow start(String service) {
+        return start(service, Optional.empty());
+    }
+
+    private RequestFlow start(String service, Optional<String> key) {
         CallerHeaders headers = new CallerHeaders(
-                Optional.of("Bearer secret"), Optional.empty(), Optional.empty(), Optional.empty(), Optional.empty());
+                Optional.of("Bearer secret"), key, Optional.empty(), Optional.empty(), Optional.empty());
         return desk.start(
                 admission.admit(headers, service, "{\"prompt\":\"hello\"}").get(), answer);
     }
@@ -218,6 +231,65 @@
                 List.of(DispatchPhase.FIRST_TOKEN, DispatchPhase.CANCELLED, DispatchPhase.FINISHED), grants.phases());
     }
 
+    @Test
+    void aKeyedChatIsQueuedOnlyWhenItsIdentityIsClaimed() {
+        start("chat", Optional.of("key"));
+        assertTrue(grants.requested.isEmpty());
+        claims.answer(new ClaimResult.Granted());
+        assertEquals(1, grants.requested.size());
+    }
+
+    @Test
+    void aRequestCancelledWhileItsClaimIsOpenReleasesIt() {
+        RequestFlow flow = start("chat", Optional.of("key"));
+        flow.cancel();
+        claims.answer(new ClaimResult.Granted());
+        assertTrue(grants.requested.isEmpty());
+        assertEquals(List.of("claim", "released"), claims.calls);
+    }
+
+    @Test
+    void anUnprovableClaimIsNotRun() {
+        start("booking", Optional.of("key"));
+        claims.answer(new ClaimResult.Unprovable(Failure.of(ErrorKind.CLAIM_UNPROVABLE, "platform away")));
+        assertEquals(List.of(ErrorKind.CLAIM_UNPROVABLE), answer.failures);
+        assertTrue(grants.requested.isEmpty());
+    }
+
+    @Test
+    void theSecondSendingGetsTheAnswerOfTheFirst() {
+        start("booking", Optional.of("key"));
+        claims.answer(new ClaimResult.AlreadyClaimed(
+                ClaimPhase.FINISHED, Optional.of(new StoredAnswer("text/plain", "booked"))));
+        assertEquals("booked", answer.text.toString());
+        assertTrue(grants.requested.isEmpty());
+    }
+
+    @Test
+    void aClaimIsReleasedOnlyWhenTheRequestDidNotRun() {
+        RequestFlow refused = start("chat", Optional.of("key-1"));
+        claims.answer(new ClaimResult.Granted());
+        grant(refused, 1, "one", Grant.Reason.FIRST);
+        endpoints.sent.get(0).listener.refused("busy");
+        assertEquals(List.of("claim", "dispatched", "refused", "released"), claims.calls);
+        claims.calls.clear();
+        RequestFlow failed = start("chat", Optional.of("key-2"));
+        claims.answer(new ClaimResult.Granted());
+        grant(failed, 1, "one", Grant.Reason.FIRST);
+        endpoints.sent.get(1).listener.failed(DispatchFault.FAILED, Failure.of(ErrorKind.ENDPOINT_FAILED, "broken"));
+        assertEquals(List.of("claim", "dispatched"), claims.calls);
+    }
+
+    @Test
+    void aClaimThatRanOutIsNotDispatched() {
+        RequestFlow flow = start("chat", Optional.of("key"));
+        claims.answer(new ClaimResult.Granted());
+        claims.dispatchAllowed = false;
+        grant(flow, 1, "one", Grant.Reason.FIRST);
+        assertTrue(endpoints.sent.isEmpty());
+        assertEquals(List.of(ErrorKind.CLAIM_UNPROVABLE), answer.failures);
+    }
+
     @Test
     void drainRefusesNewRequestsAndWaitsForThoseInFlight() {
         RequestFlow flow = start("chat");
