Operators' commands over the platform, and the history of settings

Cause: the command line worked through an entry only; a new fleet has no entry yet.

A test runs the README's five commands against the stand-in platform.

--- a/cli/src/main/java/org/cowslippick/cli/operator/OperatorSession.java
+++ b/cli/src/main/java/org/cowslippick/cli/operator/OperatorSession.java
@@ -5,21 +5,28 @@
 import com.google.common.net.HostAndPort;
 import io.vavr.control.Either;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Function;
+import java.util.stream.Stream;
 import org.cowslippick.cli.CommandFailure;
+import org.cowslippick.cli.ExitCode;
 import org.cowslippick.cli.Invocation;
 import org.cowslippick.cli.http.HttpCalls;
+import org.cowslippick.fleet.settings.CommitRecord;
 
 /** The connections of one operator's command. */
 final class OperatorSession implements AutoCloseable {
 
+    private static final String OPERATOR = System.getProperty("user.name", "unknown");
     private static final Duration READ_TIMEOUT = Duration.ofSeconds(10);
 
     private final OperatorOptions options;
     private final HttpCalls calls = new HttpCalls(READ_TIMEOUT);
+    private final Optional<PlatformSession> platform;
 
     private OperatorSession(OperatorOptions options) {
         this.options = options;
+        this.platform = options.platform().map(PlatformSession::new);
     }
 
     /** Runs the work with a session that is closed afterwards. */
@@ -59,10 +66,23 @@
                 : Either.left(CommandFailure.usage("option --entry must name one entry"));
     }
 
+    /** The last commits, which only the platform keeps. */
+    Either<CommandFailure, ImmutableList<CommitRecord>> history() {
+        return platform.map(session -> session.settings(OPERATOR).history())
+                .orElseGet(() -> Either.left(CommandFailure.usage("option --platform is missing")));
+    }
+
+    /** The entries of the command line, or else those that the platform lists. */
     private Either<CommandFailure, ImmutableList<EntryApi>> entries() {
-        return options.entries().isEmpty()
-                ? Either.left(CommandFailure.usage("option --entry is missing"))
-                : Either.right(options.entries().stream().map(this::entry).collect(ImmutableList.toImmutableList()));
+        Either<CommandFailure, ImmutableList<HostAndPort>> addresses = platform.filter(
+                        _session -> options.entries().isEmpty())
+                .map(PlatformSession::entries)
+                .orElseGet(() -> Either.right(options.entries()));
+        return addresses
+                .map(found -> found.stream().map(this::entry).collect(ImmutableList.toImmutableList()))
+                .filterOrElse(
+                        found -> !found.isEmpty(),
+                        _none -> CommandFailure.of(ExitCode.UNREACHABLE, "the platform lists no instance"));
     }
 
     private EntryApi entry(HostAndPort address) {
@@ -82,13 +102,16 @@
     }
 
     SettingsEditor settings() {
-        return new SettingsEditor(new FallbackSettingsAccess(options.entries().stream()
-                .map(address -> new EntrySettingsAccess(entry(address)))
-                .collect(ImmutableList.toImmutableList())));
+        Stream<SettingsAccess> entries =
+                options.entries().stream().map(address -> new EntrySettingsAccess(entry(address)));
+        Stream<SettingsAccess> platforms = platform.stream().map(session -> session.settings(OPERATOR));
+        return new SettingsEditor(
+                new FallbackSettingsAccess(Stream.concat(entries, platforms).collect(ImmutableList.toImmutableList())));
     }
 
     @Override
     public void close() {
+        platform.ifPresent(PlatformSession::close);
         calls.close();
     }
 }
--- a/cli/src/main/java/org/cowslippick/cli/operator/SettingsCommand.java
+++ b/cli/src/main/java/org/cowslippick/cli/operator/SettingsCommand.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Instant;
 import java.util.Optional;
 import java.util.stream.Stream;
 import joptsimple.OptionParser;
@@ -27,12 +28,15 @@
 import org.cowslippick.core.world.OrganisationName;
 import org.cowslippick.core.world.ServiceName;
 import org.cowslippick.core.world.TierName;
+import org.cowslippick.fleet.settings.CommitRecord;
 
 /** Reads and changes the settings tree as a whole. */
 public final class SettingsCommand implements Command {
 
     private static final String ACTIONS = "get, set, explain, history or apply";
     private static final ImmutableList<String> EXPLAIN_COLUMNS = ImmutableList.of("key", "value", "origin", "bounds");
+    private static final ImmutableList<String> HISTORY_COLUMNS =
+            ImmutableList.of("revision", "time", "operator", "changes");
     private static final int EXPLAIN_ARGUMENTS = 4;
 
     @Override
@@ -51,6 +55,7 @@
             case "get" -> get(invocation);
             case "set" -> set(invocation);
             case "explain" -> explain(invocation);
+            case "history" -> history(invocation);
             case "apply" -> apply(invocation);
             default -> Either.left(CommandFailure.usage("action \"" + action + "\" is not " + ACTIONS));
         };
@@ -152,6 +157,22 @@
         return ImmutableList.of(setting.key().text(), setting.value(), origin, bounds);
     }
 
+    private static Either<CommandFailure, Report> history(Invocation invocation) {
+        return OperatorSession.run(invocation, session -> session.history().map(commits -> new Table(
+                        HISTORY_COLUMNS,
+                        commits.stream().map(SettingsCommand::row).collect(ImmutableList.toImmutableList()))
+                .toReport()));
+    }
+
+    private static ImmutableList<String> row(CommitRecord commit) {
+        int more = commit.changeCount() - commit.changes().size();
+        return ImmutableList.of(
+                Long.toString(commit.revision()),
+                Instant.ofEpochMilli(commit.atMilliseconds()).toString(),
+                commit.operator(),
+                String.join("; ", commit.changes()) + (more > 0 ? "; and " + more + " more" : ""));
+    }
+
     private static Either<CommandFailure, Report> apply(Invocation invocation) {
         return invocation
                 .argument(1)
