Entries join into a fleet: membership, remote grants, settings from the platform

Cause: each entry of main decided alone, with settings given in code. Change: an entry joins the others by the peer network and the membership, takes settings from the platform or from peers, asks a pool's owner for grants wherever it is, and names the owner first in its addresses. Status and settings over HTTP; the entry subcommand starts the daemon.

--- a/cli/src/main/java/org/cowslippick/cli/EntryCommand.java
+++ b/cli/src/main/java/org/cowslippick/cli/EntryCommand.java
@@ -1,5 +1,6 @@
 package org.cowslippick.cli;
 
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.google.common.collect.ImmutableList;
 import io.vavr.control.Either;
 import java.io.IOException;
@@ -9,6 +10,7 @@
 import joptsimple.OptionParser;
 import org.cowslippick.core.settings.EntrySettings;
 import org.cowslippick.core.settings.SettingsFault;
+import org.cowslippick.entry.daemon.EntryDaemon;
 
 /** Checks the settings file and starts the entry process; nothing starts if the file has a fault. */
 final class EntryCommand implements Command {
@@ -42,7 +44,8 @@
                 faults.stream().map(fault -> file + ": " + fault).collect(ImmutableList.toImmutableList()));
     }
 
-    private static Either<CommandFailure, Report> start(EntrySettings _settings) {
-        return Either.left(CommandFailure.of(ExitCode.REFUSED, "the entry process is not part of this build"));
+    private static Either<CommandFailure, Report> start(EntrySettings settings) {
+        EntryDaemon.run(settings);
+        return Either.right(new Report("", JsonNodeFactory.instance.objectNode()));
     }
 }
--- a/entry/src/main/java/org/cowslippick/entry/daemon/Entry.java
+++ b/entry/src/main/java/org/cowslippick/entry/daemon/Entry.java
@@ -1,10 +1,8 @@
 package org.cowslippick.entry.daemon;
 
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.net.HostAndPort;
 import java.net.URI;
-import java.time.Duration;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ForkJoinPool;
@@ -15,8 +13,8 @@
 import org.cowslippick.core.timeline.Timeline;
 import org.cowslippick.core.world.Endpoint;
 import org.cowslippick.core.world.Incarnation;
+import org.cowslippick.core.world.Instance;
 import org.cowslippick.core.world.PoolKey;
-import org.cowslippick.entry.door.AddressBook;
 import org.cowslippick.entry.door.FrontDoor;
 import org.cowslippick.entry.endpoint.ApplicationEngineClient;
 import org.cowslippick.entry.endpoint.EndpointClients;
@@ -30,11 +28,12 @@
 import org.cowslippick.fleet.claim.ClaimService;
 import org.cowslippick.fleet.claim.SigningKeys;
 import org.cowslippick.fleet.claim.TicketCodec;
-import org.cowslippick.fleet.grant.LocalGrantClient;
+import org.cowslippick.fleet.grant.FleetGrantClient;
 import org.cowslippick.fleet.grant.PoolFactory;
 import org.cowslippick.fleet.platform.BudgetedPlatform;
 import org.cowslippick.fleet.platform.HttpPlatform;
 import org.cowslippick.fleet.platform.Platform;
+import org.cowslippick.fleet.settings.SettingsStore;
 import org.jboss.logging.Logger;
 import ratpack.exec.internal.DefaultExecController;
 
@@ -45,71 +44,87 @@
     private static final int CLIENT_EVENT_LOOPS = 4;
     private static final int TIMELINE_EVENTS = 20_000;
     private static final int PLATFORM_BURST_CALLS = 50;
-    private static final Duration ADDRESSES_KEPT = Duration.ofSeconds(5);
 
-    private final EntrySettings entrySettings;
-    private final SystemTimerService timer;
-    private final DefaultExecController controller;
-    private final EndpointHttp http;
-    private final LocalGrantClient grants;
+    private final Instance self;
+    private final SystemTimerService timer = new SystemTimerService(Entry::timerTaskFailed);
+    private final DefaultExecController controller = new DefaultExecController(CLIENT_EVENT_LOOPS);
+    private final EndpointHttp http = new EndpointHttp(controller);
+    private final Incarnation incarnation;
+    private final FleetLink fleet;
+    private final FleetGrantClient grants;
     private final ClaimService claims;
     private final RequestDesk desk;
     private final FrontDoor door;
 
-    /** Starts an entry. */
-    public Entry(EntrySettings entrySettings, Supplier<SettingsTree> settings, PoolFactory pools) {
-        this.entrySettings = entrySettings;
-        this.timer = new SystemTimerService(failure -> LOG.error("timer task failed", failure));
-        this.controller = new DefaultExecController(CLIENT_EVENT_LOOPS);
-        this.http = new EndpointHttp(controller);
-        Platform platform = new BudgetedPlatform(
-                HttpPlatform.on(URI.create("http://" + entrySettings.platform().address()), timer, controller),
+    /** Starts an entry, whose pools are made by the factory when it comes to own them. */
+    public Entry(EntrySettings settings, PoolFactory pools) {
+        this.self = settings.instance();
+        this.incarnation = new Incarnation(timer.now().toEpochMilli());
+        Timeline timeline = new Timeline(self.name(), timer, TIMELINE_EVENTS);
+        Platform platform = platform(settings);
+        this.fleet = new FleetLink(settings, incarnation, timer, timeline, platform);
+        this.grants = new FleetGrantClient(
                 timer,
-                entrySettings.platform().callsPerSecond(),
-                PLATFORM_BURST_CALLS,
-                new SplittableRandom(entrySettings.instance().name().hashCode()));
-        Incarnation incarnation = new Incarnation(timer.now().toEpochMilli());
-        TicketCodec tickets = new TicketCodec(SigningKeys.of(entrySettings.peerKeys()));
-        TicketOffice office = new TicketOffice(tickets, entrySettings.instance().name(), incarnation, timer);
-        this.claims = new ClaimService(entrySettings.instance().name(), incarnation, platform, timer, _entry -> true);
-        Timeline timeline = new Timeline(entrySettings.instance().name(), timer, TIMELINE_EVENTS);
-        this.grants = new LocalGrantClient(timer, ForkJoinPool.commonPool(), pools);
-        grants.host().replaceEndpoints(endpoints(settings.get()));
+                ForkJoinPool.commonPool(),
+                pools,
+                fleet.membership()::identity,
+                fleet.network(),
+                fleet.membership());
+        this.claims = new ClaimService(self.name(), incarnation, platform, timer, fleet::alive);
+        Supplier<SettingsTree> tree = () -> fleet.replica().current().tree();
+        fleet.replica().subscribe(_applied -> useEndpoints(tree.get()));
+        useEndpoints(tree.get());
         EntryMetrics metrics = new EntryMetrics();
         OnTimeRecord record = new OnTimeRecord(timer);
         this.desk = new RequestDesk(
-                entrySettings.instance(),
+                self,
                 timer,
                 timeline,
-                settings,
+                tree,
                 grants,
                 new EndpointClients(new ModelEngineClient(http), new ApplicationEngineClient(http)),
                 claims,
                 new RequestOutcomes(metrics, record));
-        Admission admission = new Admission(entrySettings.instance(), timer, settings, tickets);
+        metrics.gauge("cowslippick_requests_in_flight", "Requests queued or running here.", desk::inFlight);
+        TicketCodec tickets = new TicketCodec(SigningKeys.of(settings.peerKeys()));
         this.door = new FrontDoor(
-                entrySettings.instance().callerAddress(),
+                self.callerAddress(),
                 new FrontDoor.DoorParts(
-                        admission,
+                        new Admission(self, timer, tree, tickets),
                         desk,
-                        (organisation, _service) -> new AddressBook.Answer(
-                                ImmutableList.of(address()), ADDRESSES_KEPT, office.issue(organisation)),
+                        new FleetAddresses(
+                                self,
+                                fleet.membership()::current,
+                                new TicketOffice(tickets, self.name(), incarnation, timer)),
                         timeline,
                         metrics,
                         record,
-                        entrySettings.instance().name(),
+                        self.name(),
+                        this::status,
+                        new EntrySettingsService(fleet.replica(), new SettingsStore(platform, timer), timeline),
                         this::drain,
-                        entrySettings.maximumBodyBytes()));
-        LOG.infof("started entry=%s address=%s", entrySettings.instance().name(), address());
+                        settings.maximumBodyBytes()));
+        LOG.infof("started entry=%s incarnation=%d address=%s", self.name(), incarnation.number(), address());
     }
 
     /** Where callers reach this entry. */
     public HostAndPort address() {
-        return HostAndPort.fromParts(entrySettings.instance().callerAddress().getHost(), door.port());
+        return HostAndPort.fromParts(self.callerAddress().getHost(), door.port());
+    }
+
+    /** The revision of the settings in force here; 0 before any were found. */
+    public long settingsRevision() {
+        return fleet.replica().current().revision();
     }
 
-    /** Refuses new requests and lets those in flight end. */
+    /** How many entries this one knows, itself included. */
+    public int memberCount() {
+        return fleet.membership().current().members().size();
+    }
+
+    /** Refuses new requests, hands its pools over and lets requests in flight end. */
     public void drain() {
+        fleet.membership().leave();
         desk.drain();
     }
 
@@ -121,15 +136,42 @@
     @Override
     public void close() {
         door.close();
-        grants.host().close();
+        grants.close();
         claims.close();
+        fleet.close();
         http.close();
         controller.close();
         timer.close();
     }
 
-    private static ImmutableListMultimap<PoolKey, Endpoint> endpoints(SettingsTree tree) {
-        return tree.endpoints().stream()
-                .collect(ImmutableListMultimap.toImmutableListMultimap(Endpoint::poolKey, endpoint -> endpoint));
+    private EntryStatus status() {
+        return EntryStatus.of(
+                self,
+                incarnation,
+                settingsRevision(),
+                desk,
+                fleet.membership().current(),
+                grants.host().pools());
+    }
+
+    private void useEndpoints(SettingsTree tree) {
+        grants.host()
+                .replaceEndpoints(tree.endpoints().stream()
+                        .collect(ImmutableListMultimap.<Endpoint, PoolKey, Endpoint>toImmutableListMultimap(
+                                Endpoint::poolKey, endpoint -> endpoint)));
+    }
+
+    private Platform platform(EntrySettings settings) {
+        URI address = URI.create("http://" + settings.platform().address());
+        return new BudgetedPlatform(
+                HttpPlatform.on(address, timer, controller),
+                timer,
+                settings.platform().callsPerSecond(),
+                PLATFORM_BURST_CALLS,
+                new SplittableRandom(incarnation.number()));
+    }
+
+    private static void timerTaskFailed(Throwable failure) {
+        LOG.error("timer task failed", failure);
     }
 }
--- a/entry/src/main/java/org/cowslippick/entry/daemon/EntryDaemon.java
+++ b/entry/src/main/java/org/cowslippick/entry/daemon/EntryDaemon.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.cowslippick.core.settings.EntrySettings;
-import org.cowslippick.core.settings.SettingsTree;
 import org.cowslippick.entry.log.LogSetup;
 import org.cowslippick.scheduler.pool.PoolSettings;
 import org.cowslippick.scheduler.pool.SchedulingPolicy;
@@ -29,7 +28,7 @@
     public static void run(EntrySettings settings) {
         LogSetup.install(settings.logLevel());
         EntryDaemon daemon = new EntryDaemon(new Entry(
-                settings, () -> SettingsTree.EMPTY, _pool -> SchedulingPolicy.TIERED.create(0, PoolSettings.DEFAULT)));
+                settings, pool -> SchedulingPolicy.TIERED.create(pool.toString().hashCode(), PoolSettings.DEFAULT)));
         Runtime.getRuntime().addShutdownHook(new Thread(daemon::terminated, "cowslippick-shutdown"));
         daemon.entry.drained().join();
         daemon.entry.close();
--- /dev/null
+++ b/entry/src/main/java/org/cowslippick/entry/daemon/FleetLink.java
@@ -0,0 +1,127 @@
+package org.cowslippick.entry.daemon;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.SplittableRandom;
+import org.cowslippick.core.settings.EntrySettings;
+import org.cowslippick.core.time.TimerService;
+import org.cowslippick.core.timeline.EventKind;
+import org.cowslippick.core.timeline.Timeline;
+import org.cowslippick.core.world.Incarnation;
+import org.cowslippick.core.world.Instance;
+import org.cowslippick.core.world.InstanceName;
+import org.cowslippick.fleet.grant.GrantMessages;
+import org.cowslippick.fleet.membership.Member;
+import org.cowslippick.fleet.membership.Membership;
+import org.cowslippick.fleet.membership.MembershipMessages;
+import org.cowslippick.fleet.membership.MembershipService;
+import org.cowslippick.fleet.ownership.Rendezvous;
+import org.cowslippick.fleet.peer.EpidemicBroadcast;
+import org.cowslippick.fleet.peer.TcpPeerNetwork;
+import org.cowslippick.fleet.platform.Platform;
+import org.cowslippick.fleet.settings.PeerSettingsGossip;
+import org.cowslippick.fleet.settings.SettingsMessages;
+import org.cowslippick.fleet.settings.SettingsReplica;
+import org.cowslippick.fleet.wire.ClusterKeys;
+import org.cowslippick.fleet.wire.MessageType;
+
+/** What joins an entry to the others: the peer network, the membership and the replica of the settings. */
+final class FleetLink implements AutoCloseable {
+
+    private static final int SETTINGS_WATCHERS_PER_REGION = 2;
+    private static final int KEY_NAME_CHARACTERS = 8;
+    private static final ImmutableSet<MessageType<?>> MESSAGES = ImmutableSet.<MessageType<?>>builder()
+            .addAll(GrantMessages.TYPES)
+            .addAll(MembershipMessages.TYPES)
+            .addAll(SettingsMessages.TYPES)
+            .build();
+
+    private final Instance self;
+    private final MembershipService membership;
+    private final TcpPeerNetwork network;
+    private final TimerService.Subscription joined;
+    private final SettingsReplica replica;
+
+    FleetLink(
+            EntrySettings settings, Incarnation incarnation, TimerService timer, Timeline timeline, Platform platform) {
+        this.self = settings.instance();
+        this.membership = new MembershipService(self, incarnation, timer, platform);
+        ClusterKeys keys = clusterKeys(settings.peerKeys());
+        this.network = new TcpPeerNetwork(timer, timeline, membership, membership::identity, () -> keys, MESSAGES);
+        network.listen(self.peerAddress());
+        membership.subscribe(changed -> timeline.record(EventKind.ENTRY_JOINED, names(changed)));
+        this.joined = membership.start(network);
+        SplittableRandom random = new SplittableRandom(incarnation.number());
+        PeerSettingsGossip gossip = new PeerSettingsGossip(
+                network,
+                new EpidemicBroadcast(network, this::livePeers, random.split()),
+                this::livePeers,
+                timer,
+                random.split());
+        this.replica = new SettingsReplica(platform, gossip, timer, this::watchesSettings);
+        replica.subscribe(applied -> timeline.record(EventKind.SETTINGS_APPLIED, "revision " + applied.revision()));
+    }
+
+    MembershipService membership() {
+        return membership;
+    }
+
+    TcpPeerNetwork network() {
+        return network;
+    }
+
+    SettingsReplica replica() {
+        return replica;
+    }
+
+    /** Whether an entry of this name is alive, as far as this one knows. */
+    boolean alive(InstanceName name) {
+        return membership.current().find(name).isPresent();
+    }
+
+    @Override
+    public void close() {
+        replica.close();
+        joined.cancel();
+        network.close();
+    }
+
+    private ImmutableList<InstanceName> livePeers() {
+        return membership
+                .current()
+                .working()
+                .map(Member::name)
+                .filter(name -> !name.equals(self.name()))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private boolean watchesSettings() {
+        return Rendezvous.order(membership.current().working(self.region()), "settings-watchers").stream()
+                .limit(SETTINGS_WATCHERS_PER_REGION)
+                .anyMatch(member -> member.name().equals(self.name()));
+    }
+
+    /** Names each key by a hash of it, so that both ends know which they share and no key is sent. */
+    private static ClusterKeys clusterKeys(ImmutableList<String> secrets) {
+        return ClusterKeys.of(secrets.stream()
+                .collect(ImmutableMap.toImmutableMap(FleetLink::keyName, secret -> secret, (one, _same) -> one)));
+    }
+
+    private static String keyName(String secret) {
+        return Hashing.sha256()
+                .hashString("key name " + secret, StandardCharsets.UTF_8)
+                .toString()
+                .substring(0, KEY_NAME_CHARACTERS);
+    }
+
+    private static String names(Membership membership) {
+        return "members "
+                + membership.members().values().stream()
+                        .map(member -> member.name() + " " + member.standing())
+                        .sorted()
+                        .toList();
+    }
+}
--- a/entry/src/main/java/org/cowslippick/entry/door/FrontDoor.java
+++ b/entry/src/main/java/org/cowslippick/entry/door/FrontDoor.java
@@ -4,6 +4,7 @@
 import java.net.InetAddress;
 import java.time.Duration;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.cowslippick.core.error.ErrorKind;
 import org.cowslippick.core.error.Failure;
 import org.cowslippick.core.timeline.Timeline;
@@ -16,6 +17,7 @@
 import ratpack.error.ServerErrorHandler;
 import ratpack.handling.Chain;
 import ratpack.handling.Context;
+import ratpack.handling.Handler;
 import ratpack.server.RatpackServer;
 
 /** The HTTP server of an entry. */
@@ -43,6 +45,8 @@
             EntryMetrics metrics,
             OnTimeRecord record,
             InstanceName entry,
+            Supplier<?> status,
+            SettingsService settings,
             Runnable whenDrainWanted,
             int maximumBodyBytes) {}
 
@@ -76,6 +80,7 @@
     }
 
     private void routes(Chain chain) {
+        SettingsHandler settings = new SettingsHandler(parts.settings());
         chain.get("live", context -> context.getResponse().send("live"))
                 .get("ready", this::ready)
                 .get("metrics", context -> context.getResponse()
@@ -84,11 +89,17 @@
                 .post("v1/services/:service/requests", requests(AnswerFormat.NATIVE, body -> body.pathToken("service")))
                 .post("v1/chat/completions", requests(AnswerFormat.OPEN_AI, body -> body.field("model")))
                 .delete("v1/requests/:request", new CancelHandler(parts.admission(), parts.desk()))
-                .post("v1/drain", this::drain)
+                .post("v1/drain", operators(this::drain))
+                .get(
+                        "v1/status",
+                        operators(context ->
+                                Answers.json(context, 200, parts.status().get())))
+                .get("v1/settings", operators(settings::read))
+                .post("v1/settings", operators(settings::commit))
                 .get(
                         "v1/organisations/:organisation/record",
                         new RecordHandler(parts.admission(), parts.record(), parts.entry()))
-                .get("v1/timeline", new TimelineHandler(parts.admission(), parts.timeline()))
+                .get("v1/timeline", operators(new TimelineHandler(parts.timeline())))
                 .all(FrontDoor::unknownPath);
     }
 
@@ -96,16 +107,23 @@
         return new RequestsHandler(parts.admission(), parts.desk(), format, parts.maximumBodyBytes(), serviceName);
     }
 
+    /** Lets only operators pass. */
+    private Handler operators(Handler handler) {
+        return context -> {
+            if (parts.admission().operator(Answers.header(context, "Authorization"))) {
+                handler.handle(context);
+            } else {
+                Answers.error(context, Failure.of(ErrorKind.UNAUTHENTICATED, "this needs an operator's credential"));
+            }
+        };
+    }
+
     private void ready(Context context) {
         boolean ready = !parts.desk().draining();
         context.getResponse().status(ready ? 200 : 503).send(ready ? "ready" : "draining");
     }
 
     private void drain(Context context) {
-        if (!parts.admission().operator(Answers.header(context, "Authorization"))) {
-            Answers.error(context, Failure.of(ErrorKind.UNAUTHENTICATED, "this needs an operator's credential"));
-            return;
-        }
         context.getResponse().status(202).send();
         parts.whenDrainWanted().run();
     }
--- a/entry/src/main/java/org/cowslippick/entry/door/TimelineHandler.java
+++ b/entry/src/main/java/org/cowslippick/entry/door/TimelineHandler.java
@@ -3,22 +3,17 @@
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.google.common.collect.ImmutableList;
 import java.util.Optional;
-import org.cowslippick.core.error.ErrorKind;
-import org.cowslippick.core.error.Failure;
 import org.cowslippick.core.timeline.Timeline;
 import org.cowslippick.core.timeline.TimelineEvent;
-import org.cowslippick.entry.request.Admission;
 import ratpack.handling.Context;
 import ratpack.handling.Handler;
 
 /** Shows this entry's part of the time line to operators. */
 final class TimelineHandler implements Handler {
 
-    private final Admission admission;
     private final Timeline timeline;
 
-    TimelineHandler(Admission admission, Timeline timeline) {
-        this.admission = admission;
+    TimelineHandler(Timeline timeline) {
         this.timeline = timeline;
     }
 
@@ -67,10 +62,6 @@
 
     @Override
     public void handle(Context context) {
-        if (!admission.operator(Answers.header(context, "Authorization"))) {
-            Answers.error(context, Failure.of(ErrorKind.UNAUTHENTICATED, "this needs an operator's credential"));
-            return;
-        }
         Answers.json(
                 context,
                 200,
--- a/entry/src/main/java/org/cowslippick/entry/request/Admission.java
+++ b/entry/src/main/java/org/cowslippick/entry/request/Admission.java
@@ -12,6 +12,7 @@
 import org.cowslippick.core.settings.SettingsTree;
 import org.cowslippick.core.time.TimerService;
 import org.cowslippick.core.world.Contract;
+import org.cowslippick.core.world.Endpoint;
 import org.cowslippick.core.world.EndpointKind;
 import org.cowslippick.core.world.Instance;
 import org.cowslippick.core.world.OrganisationName;
@@ -169,11 +170,18 @@
                 profile.prefixHashes(),
                 profile.fingerprint());
         return new AdmittedRequest(
-                descriptor,
-                contract,
-                new PoolKey(service.pool(), self.region()),
-                call,
-                headers.idempotencyKey(),
-                headers.ticket());
+                descriptor, contract, pool(service, contract), call, headers.idempotencyKey(), headers.ticket());
+    }
+
+    /** The pool of the caller's region, or of another where this one has none and the contract pays for the link. */
+    private PoolKey pool(Service service, Contract contract) {
+        PoolKey home = new PoolKey(service.pool(), self.region());
+        ImmutableList<PoolKey> pools = settings.get().endpoints().stream()
+                .filter(endpoint -> endpoint.pool().equals(service.pool()))
+                .map(Endpoint::poolKey)
+                .distinct()
+                .sorted()
+                .collect(ImmutableList.toImmutableList());
+        return pools.contains(home) || pools.isEmpty() || !contract.crossRegion() ? home : pools.get(0);
     }
 }
