--- a/standin/src/main/java/org/cowslippick/standin/bench/BenchSite.java
+++ b/standin/src/main/java/org/cowslippick/standin/bench/BenchSite.java
@@ -7,6 +7,7 @@
 import org.cowslippick.core.settings.EntrySettings;
 import org.cowslippick.core.settings.SettingsTree;
 import org.cowslippick.core.time.SystemTimerService;
+import org.cowslippick.core.world.FailureDomain;
 import org.cowslippick.entry.daemon.Entry;
 import org.cowslippick.scheduler.pool.PoolSettings;
 import org.cowslippick.scheduler.pool.SchedulingPolicy;
@@ -14,6 +15,7 @@
 import org.cowslippick.standin.engine.EngineFaults;
 import org.cowslippick.standin.engine.EngineSpeed;
 import org.cowslippick.standin.engine.StandinModelEngine;
+import org.cowslippick.standin.site.SitePlatform;
 
 /** Stand-in engines and real entries on loopback that schedule by one policy. */
 final class BenchSite implements AutoCloseable {
@@ -22,6 +24,7 @@
     private final ImmutableList<StandinModelEngine> engines;
     private final ShedInversions inversions = new ShedInversions();
     private final PoolSamples samples = new PoolSamples();
+    private final SitePlatform platform;
     private final ImmutableList<Entry> entries;
 
     /**
@@ -59,9 +62,16 @@
                         "engine-" + number, plan.engines().get(number), timer))
                 .collect(ImmutableList.toImmutableList());
         SettingsTree tree = BenchSettings.tree(engineAddresses(), plan.requestsPerSecond());
-        this.entries = IntStream.range(0, plan.entries())
-                .mapToObj(number -> entry(number, plan, tree))
+        this.platform = new SitePlatform(timer);
+        platform.commit(tree);
+        FailureDomain failureDomain =
+                tree.failureDomain(BenchSettings.FAILURE_DOMAIN).orElseThrow();
+        ImmutableList<EntrySettings> settings = IntStream.range(0, plan.entries())
+                .mapToObj(number -> platform.entry("entry-" + number, failureDomain))
                 .collect(ImmutableList.toImmutableList());
+        platform.list(settings);
+        this.entries = settings.stream().map(entry -> entry(entry, plan)).collect(ImmutableList.toImmutableList());
+        platform.awaitReady(entries);
     }
 
     ImmutableList<HostAndPort> entryAddresses() {
@@ -91,20 +101,14 @@
     @Override
     public void close() {
         entries.forEach(Entry::close);
+        platform.close();
         engines.forEach(StandinModelEngine::close);
         timer.close();
     }
 
-    private Entry entry(int number, Plan plan, SettingsTree tree) {
-        String ini = "[entry]\nname = entry-" + number + "\nfailure-domain = " + BenchSettings.FAILURE_DOMAIN
-                + "\nregion = " + BenchSettings.REGION
-                + "\ncaller-address = 127.0.0.1:0\npeer-address = 127.0.0.1:0\n"
-                + "[platform]\naddress = 127.0.0.1:1\n[peers]\nkeys = bench-peer-key-of-32-characters-00\n";
-        EntrySettings settings =
-                EntrySettings.parse(ini).getOrElseThrow(faults -> new IllegalStateException(faults.toString()));
+    private Entry entry(EntrySettings settings, Plan plan) {
         return new Entry(
                 settings,
-                () -> tree,
                 _pool -> new WatchedPool(plan.policy().create(plan.seed(), PoolSettings.DEFAULT), inversions, samples));
     }
 }
