What was not sent may be sent again; a request that every endpoint refused goes on

Change: DispatchPhase tells whether the endpoint may have started; NOT_SENT allows a retry under every rule. When all endpoints were tried, all may be tried again, up to the limit of attempts. Three cases more in once.feature.

--- a/scheduler/src/main/java/org/cowslippick/scheduler/pool/DispatchPhase.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/pool/DispatchPhase.java
@@ -3,28 +3,30 @@
 /** How far a dispatched request has come. */
 public enum DispatchPhase {
     /** The first token arrived; more follow. */
-    FIRST_TOKEN(false, false),
+    FIRST_TOKEN(false, false, true),
     /** The whole answer arrived. */
-    FINISHED(true, false),
+    FINISHED(true, false, true),
     /** No connection to the endpoint could be made, so nothing was sent. */
-    NOT_SENT(true, true),
+    NOT_SENT(true, true, false),
     /** The endpoint refused it and proved that it did not start it. */
-    REFUSED(true, true),
+    REFUSED(true, true, false),
     /** The endpoint or its connection failed. */
-    FAILED(true, true),
+    FAILED(true, true, true),
     /** The endpoint's process died while it ran the request. */
-    CRASHED(true, true),
+    CRASHED(true, true, true),
     /** No progress was seen for too long, although a new connection works. */
-    SILENT(true, true),
+    SILENT(true, true, true),
     /** The entry gave it up: the caller left, a deadline passed, or another attempt won. */
-    CANCELLED(true, false);
+    CANCELLED(true, false, true);
 
     private final boolean ended;
     private final boolean fault;
+    private final boolean mayHaveStarted;
 
-    DispatchPhase(boolean ended, boolean fault) {
+    DispatchPhase(boolean ended, boolean fault, boolean mayHaveStarted) {
         this.ended = ended;
         this.fault = fault;
+        this.mayHaveStarted = mayHaveStarted;
     }
 
     /** Whether the request no longer occupies the endpoint. */
@@ -32,6 +34,11 @@
         return ended;
     }
 
+    /** Whether the endpoint may have started the request; if not, that is proved. */
+    public boolean mayHaveStarted() {
+        return mayHaveStarted;
+    }
+
     /** Whether this speaks against the endpoint. */
     public boolean fault() {
         return fault;
--- a/scheduler/src/main/java/org/cowslippick/scheduler/pool/Placement.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/pool/Placement.java
@@ -74,8 +74,9 @@
     }
 
     private boolean allowed(TrackedRequest request, EndpointTracker tracker, long nowNanos) {
-        boolean untried = endpoints.members().size() == 1 || !request.tried(tracker.name());
-        return untried && crashes.mayRun(request.descriptor(), tracker.name(), nowNanos);
+        boolean running = request.attemptOn(tracker.name()).isPresent();
+        boolean another = !request.tried(tracker.name()) || request.triedAll(endpoints.members());
+        return !running && another && crashes.mayRun(request.descriptor(), tracker.name(), nowNanos);
     }
 
     private static long uncachedTokens(
--- a/scheduler/src/main/java/org/cowslippick/scheduler/pool/RetryRules.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/pool/RetryRules.java
@@ -26,7 +26,7 @@
 
     static ErrorKind kind(DispatchPhase phase) {
         return switch (phase) {
-            case REFUSED -> ErrorKind.ENDPOINT_REFUSED;
+            case REFUSED, NOT_SENT -> ErrorKind.ENDPOINT_REFUSED;
             case SILENT -> ErrorKind.ENDPOINT_SILENT;
             default -> ErrorKind.ENDPOINT_FAILED;
         };
@@ -40,6 +40,10 @@
     }
 
     private static boolean allowed(DispatchRule rule, DispatchPhase phase) {
-        return phase == DispatchPhase.REFUSED ? rule.retryAfterRefusal() : rule.retryAfterStart();
+        return switch (phase) {
+            case NOT_SENT -> true;
+            case REFUSED -> rule.retryAfterRefusal();
+            default -> rule.retryAfterStart();
+        };
     }
 }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/pool/TieredPool.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/pool/TieredPool.java
@@ -298,7 +298,7 @@
     }
 
     private void fail(TrackedRequest request, DispatchReport report, Decisions decisions, long nowNanos) {
-        if (report.phase() != DispatchPhase.REFUSED) {
+        if (report.phase().mayHaveStarted()) {
             request.mayHaveRun(RetryRules.kind(report.phase()));
         }
         if (!request.attempts().isEmpty()) {
--- a/scheduler/src/main/java/org/cowslippick/scheduler/pool/TrackedRequest.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/pool/TrackedRequest.java
@@ -1,5 +1,6 @@
 package org.cowslippick.scheduler.pool;
 
+import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -9,6 +10,7 @@
 import org.cowslippick.core.error.Outcome;
 import org.cowslippick.core.request.RequestDescriptor;
 import org.cowslippick.core.world.EndpointName;
+import org.cowslippick.scheduler.endpoint.EndpointTracker;
 
 /** A request that waits or is dispatched, with its attempts. */
 final class TrackedRequest {
@@ -39,6 +41,11 @@
         return tried.contains(endpoint);
     }
 
+    /** Whether the request was sent to each of the endpoints before. */
+    boolean triedAll(ImmutableList<EndpointTracker> endpoints) {
+        return endpoints.stream().allMatch(endpoint -> tried(endpoint.name()));
+    }
+
     void start(Attempt attempt, int number) {
         attempts.add(attempt);
         tried.add(attempt.tracker().name());
--- a/scheduler/src/test/resources/features/once.feature
+++ b/scheduler/src/test/resources/features/once.feature
@@ -16,3 +16,14 @@
       | RUN_ONCE      | SILENT  | 1      | ENDPOINT_SILENT  |
       | RUN_ONCE      | REFUSED | 2      | nothing          |
       | IDEMPOTENT    | CRASHED | 2      | nothing          |
+      | DISPATCH_ONCE | NOT_SENT | 2     | nothing          |
+      | RUN_ONCE      | NOT_SENT | 2     | nothing          |
+
+  Scenario: Every endpoint refused a request once
+    Given a pool of 2 endpoints with 1 slots and a queue of 10
+    When a RUN_ONCE request "booking" arrives
+    And its endpoint reports it as REFUSED
+    And 1000 ms pass
+    And its endpoint reports it as REFUSED
+    And 2000 ms pass
+    Then request "booking" has 3 grants
