--- a/entry/src/main/java/org/cowslippick/entry/daemon/Entry.java
+++ b/entry/src/main/java/org/cowslippick/entry/daemon/Entry.java
@@ -2,10 +2,10 @@
 
 import com.google.common.collect.ImmutableListMultimap;
 import com.google.common.net.HostAndPort;
+import com.google.common.util.concurrent.MoreExecutors;
 import java.net.URI;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ForkJoinPool;
 import java.util.function.Supplier;
 import org.cowslippick.core.settings.EntrySettings;
 import org.cowslippick.core.settings.SettingsTree;
@@ -65,7 +65,7 @@
         this.fleet = new FleetLink(settings, incarnation, timer, timeline, platform);
         this.grants = new FleetGrantClient(
                 timer,
-                ForkJoinPool.commonPool(),
+                MoreExecutors.directExecutor(),
                 pools,
                 fleet.membership()::identity,
                 fleet.network(),
