Limits hold at every entry; a chat goes to another endpoint if none was sent

Cause: limits in the settings were looked up by nobody. Change: RequestDesk lets a request pass the limits of its organisation, service and tier, each entry holding an equal part by the number of live entries. Tests: the part of a limit and its release; a chat whose endpoint cannot be connected. Shares that follow demand are in the scheduler module and are not yet passed between entries.

--- a/entry/src/main/java/org/cowslippick/entry/daemon/Entry.java
+++ b/entry/src/main/java/org/cowslippick/entry/daemon/Entry.java
@@ -24,6 +24,7 @@
 import org.cowslippick.entry.record.OnTimeRecord;
 import org.cowslippick.entry.request.Admission;
 import org.cowslippick.entry.request.RequestDesk;
+import org.cowslippick.entry.request.RequestLimits;
 import org.cowslippick.entry.request.RequestOutcomes;
 import org.cowslippick.fleet.claim.ClaimService;
 import org.cowslippick.fleet.claim.SigningKeys;
@@ -84,7 +85,8 @@
                 grants,
                 new EndpointClients(new ModelEngineClient(http), new ApplicationEngineClient(http)),
                 claims,
-                new RequestOutcomes(metrics, record));
+                new RequestOutcomes(metrics, record),
+                new RequestLimits(self.name(), timer, tree, this::memberCount));
         metrics.gauge("cowslippick_requests_in_flight", "Requests queued or running here.", desk::inFlight);
         TicketCodec tickets = new TicketCodec(SigningKeys.of(settings.peerKeys()));
         this.door = new FrontDoor(
--- a/entry/src/main/java/org/cowslippick/entry/request/RequestDesk.java
+++ b/entry/src/main/java/org/cowslippick/entry/request/RequestDesk.java
@@ -23,6 +23,7 @@
 public final class RequestDesk {
 
     private final FlowParts parts;
+    private final RequestLimits limits;
     private final Map<RequestId, RequestFlow> flows = new ConcurrentHashMap<>();
     private final AtomicBoolean draining = new AtomicBoolean();
     private final CompletableFuture<Boolean> drained = new CompletableFuture<>();
@@ -36,7 +37,9 @@
             GrantClient grants,
             EndpointClient endpoints,
             ClaimClient claims,
-            RequestOutcomes outcomes) {
+            RequestOutcomes outcomes,
+            RequestLimits limits) {
+        this.limits = limits;
         this.parts = new FlowParts(self, timer, timeline, settings, grants, endpoints, claims, outcomes, this::ended);
     }
 
@@ -74,7 +77,7 @@
             flow.refused(
                     Failure.of(ErrorKind.ENTRY_DRAINING, "entry " + parts.self().name() + " is leaving"));
         } else {
-            flow.start();
+            limits.tryAdmit(request.descriptor()).ifPresentOrElse(flow::refused, flow::start);
         }
         return flow;
     }
@@ -92,6 +95,7 @@
 
     private void ended(RequestFlow flow) {
         flows.remove(flow.request().id());
+        limits.release(flow.request().id());
         completeWhenEmpty();
     }
 
--- a/entry/src/test/java/org/cowslippick/entry/request/RequestFlowTest.java
+++ b/entry/src/test/java/org/cowslippick/entry/request/RequestFlowTest.java
@@ -69,6 +69,8 @@
             [organisation portalia]
             tiers = urgent
             credential-sha256 = HASH
+            [organisation portalia service booking]
+            requests-at-once = 4
             """;
 
     private final ManualTimerService timer = new ManualTimerService();
@@ -91,7 +93,8 @@
             grants,
             endpoints,
             claims,
-            new RequestOutcomes(new EntryMetrics(), new OnTimeRecord(timer)));
+            new RequestOutcomes(new EntryMetrics(), new OnTimeRecord(timer)),
+            new RequestLimits(self.name(), timer, () -> tree, () -> 2));
     private final Admission admission =
             new Admission(self, timer, () -> tree, new TicketCodec(SigningKeys.of(ImmutableList.of("test-key"))));
 
@@ -290,6 +293,29 @@
         assertEquals(List.of(ErrorKind.CLAIM_UNPROVABLE), answer.failures);
     }
 
+    @Test
+    void anEntryAdmitsItsPartOfALimitAndEndsFreeIt() {
+        RequestFlow first = start("booking");
+        start("booking");
+        start("booking");
+        assertEquals(List.of(ErrorKind.LIMIT_EXCEEDED), answer.failures);
+        first.cancel();
+        start("booking");
+        assertEquals(List.of(ErrorKind.LIMIT_EXCEEDED, ErrorKind.CANCELLED_BEFORE_DISPATCH), answer.failures);
+    }
+
+    @Test
+    void aChatWhoseEndpointCannotBeConnectedIsSentToAnother() {
+        RequestFlow flow = start("chat", Optional.of("key"));
+        claims.answer(new ClaimResult.Granted());
+        grant(flow, 1, "one", Grant.Reason.FIRST);
+        endpoints.sent.get(0).listener.notSent("no connection");
+        assertTrue(grants.reports.get(0).retryWanted());
+        grant(flow, 2, "two", Grant.Reason.RETRY);
+        assertEquals(2, endpoints.sent.size());
+        assertEquals(List.of("claim", "dispatched", "refused", "dispatched"), claims.calls);
+    }
+
     @Test
     void drainRefusesNewRequestsAndWaitsForThoseInFlight() {
         RequestFlow flow = start("chat");
