--- a/standin/src/main/java/org/cowslippick/standin/demo/DemoCaller.java
+++ b/standin/src/main/java/org/cowslippick/standin/demo/DemoCaller.java
@@ -3,6 +3,7 @@
 import com.google.common.net.HostAndPort;
 import java.net.URI;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import ratpack.exec.internal.DefaultExecController;
 import ratpack.http.client.HttpClient;
@@ -28,11 +29,16 @@
     record Answer(int status, String body) {}
 
     Answer send(HostAndPort address, String service, String tier, String body) {
+        return send(address, service, tier, Optional.empty(), body);
+    }
+
+    Answer send(HostAndPort address, String service, String tier, Optional<String> idempotencyKey, String body) {
         CompletableFuture<Answer> answer = new CompletableFuture<>();
         URI uri = URI.create("http://" + address + "/v1/services/" + service + "/requests");
         controller.fork().onError(answer::completeExceptionally).start(_execution -> client.post(uri, spec -> {
                     spec.getHeaders().set("Authorization", "Bearer " + credential);
                     spec.getHeaders().set("X-Tier", tier);
+                    idempotencyKey.ifPresent(key -> spec.getHeaders().set("Idempotency-Key", key));
                     spec.getBody().type("application/json").text(body);
                 })
                 .then(response -> answer.complete(
--- a/standin/src/main/java/org/cowslippick/standin/demo/DemoCommand.java
+++ b/standin/src/main/java/org/cowslippick/standin/demo/DemoCommand.java
@@ -71,11 +71,15 @@
     }
 
     private void printAddresses(DemoSite site) {
-        out.println("The entries stay up. Try:");
+        out.println("The entries stay up. As a caller, try:");
         site.addresses()
                 .forEach(address -> out.println("  curl -H 'Authorization: Bearer " + DemoSettings.CALLER_CREDENTIAL
                         + "' -d '{\"prompt\":\"Hello\",\"stream\":true}' http://" + address
                         + "/v1/services/chat/requests"));
+        out.println("As an operator, try:");
+        out.println("  export COWSLIPPICK_CREDENTIAL=" + DemoSettings.OPERATOR_CREDENTIAL);
+        out.println("  bin/cowslippick status --entry " + site.addresses().get(0));
+        out.println("  bin/cowslippick tier list --platform " + site.platformAddress());
     }
 
     private static int words(JsonNode answer) {
--- a/standin/src/main/java/org/cowslippick/standin/demo/DemoSite.java
+++ b/standin/src/main/java/org/cowslippick/standin/demo/DemoSite.java
@@ -53,6 +53,14 @@
         return entries.stream().map(Entry::address).collect(ImmutableList.toImmutableList());
     }
 
+    StandinApplication application() {
+        return application;
+    }
+
+    HostAndPort platformAddress() {
+        return HostAndPort.fromParts("127.0.0.1", platform.platform().port());
+    }
+
     @Override
     public void close() {
         entries.forEach(Entry::close);
