--- a/entry/src/main/java/org/cowslippick/entry/daemon/Entry.java
+++ b/entry/src/main/java/org/cowslippick/entry/daemon/Entry.java
@@ -31,6 +31,7 @@
 import org.cowslippick.fleet.claim.TicketCodec;
 import org.cowslippick.fleet.grant.FleetGrantClient;
 import org.cowslippick.fleet.grant.PoolFactory;
+import org.cowslippick.fleet.limit.LimitExchange;
 import org.cowslippick.fleet.platform.BudgetedPlatform;
 import org.cowslippick.fleet.platform.HttpPlatform;
 import org.cowslippick.fleet.platform.Platform;
@@ -54,6 +55,7 @@
     private final FleetLink fleet;
     private final FleetGrantClient grants;
     private final ClaimService claims;
+    private final LimitExchange limitExchange;
     private final RequestDesk desk;
     private final FrontDoor door;
 
@@ -77,6 +79,8 @@
         useEndpoints(tree.get());
         EntryMetrics metrics = new EntryMetrics();
         OnTimeRecord record = new OnTimeRecord(timer);
+        RequestLimits limits = new RequestLimits(self.name(), timer, tree, this::memberCount);
+        this.limitExchange = new LimitExchange(self.name(), limits, fleet.network(), fleet.membership(), tree, timer);
         this.desk = new RequestDesk(
                 self,
                 timer,
@@ -86,7 +90,7 @@
                 new EndpointClients(new ModelEngineClient(http), new ApplicationEngineClient(http)),
                 claims,
                 new RequestOutcomes(metrics, record),
-                new RequestLimits(self.name(), timer, tree, this::memberCount));
+                limits);
         metrics.gauge("cowslippick_requests_in_flight", "Requests queued or running here.", desk::inFlight);
         TicketCodec tickets = new TicketCodec(SigningKeys.of(settings.peerKeys()));
         this.door = new FrontDoor(
@@ -140,6 +144,7 @@
         door.close();
         grants.close();
         claims.close();
+        limitExchange.close();
         fleet.close();
         http.close();
         controller.close();
--- a/entry/src/main/java/org/cowslippick/entry/daemon/FleetLink.java
+++ b/entry/src/main/java/org/cowslippick/entry/daemon/FleetLink.java
@@ -14,6 +14,7 @@
 import org.cowslippick.core.world.Instance;
 import org.cowslippick.core.world.InstanceName;
 import org.cowslippick.fleet.grant.GrantMessages;
+import org.cowslippick.fleet.limit.LimitMessages;
 import org.cowslippick.fleet.membership.Member;
 import org.cowslippick.fleet.membership.Membership;
 import org.cowslippick.fleet.membership.MembershipMessages;
@@ -37,6 +38,7 @@
             .addAll(GrantMessages.TYPES)
             .addAll(MembershipMessages.TYPES)
             .addAll(SettingsMessages.TYPES)
+            .addAll(LimitMessages.TYPES)
             .build();
 
     private final Instance self;
--- a/entry/src/main/java/org/cowslippick/entry/request/RequestLimits.java
+++ b/entry/src/main/java/org/cowslippick/entry/request/RequestLimits.java
@@ -13,10 +13,13 @@
 import org.cowslippick.core.settings.SettingsTree;
 import org.cowslippick.core.time.TimerService;
 import org.cowslippick.core.world.InstanceName;
+import org.cowslippick.fleet.limit.LimitParts;
+import org.cowslippick.scheduler.limit.DemandReport;
 import org.cowslippick.scheduler.limit.LimitGate;
+import org.cowslippick.scheduler.limit.LimitShare;
 
-/** Holds this entry to an equal part of every limit; the parts of all live entries add up to the limit. */
-public final class RequestLimits {
+/** Holds this entry to its part of every limit: the share that it was given, or an equal part without one. */
+public final class RequestLimits implements LimitParts {
 
     private final LimitGate gate;
     private final TimerService timer;
@@ -54,6 +57,16 @@
         Optional.ofNullable(admitted.remove(request)).ifPresent(this::release);
     }
 
+    @Override
+    public synchronized ImmutableList<DemandReport> demand() {
+        return gate.demand(timer.nanoTime());
+    }
+
+    @Override
+    public synchronized void apply(LimitShare share) {
+        gate.apply(share, timer.nanoTime());
+    }
+
     private synchronized Optional<Failure> admit(ImmutableList<Limits> limits, int tokens) {
         gate.setEntries(Math.max(1, entries.getAsInt()));
         return gate.tryAdmit(limits, tokens, timer.nanoTime());
--- /dev/null
+++ b/fleet/src/main/java/org/cowslippick/fleet/limit/package-info.java
@@ -0,0 +1,2 @@
+/** How entries divide the limits of organisations among themselves. */
+package org.cowslippick.fleet.limit;
