bench limits writes rates as the settings take them

Cause: the bench failed at its start: a rate with 15 decimals is refused by the settings, which take 9. Change: rates are written with 6 decimals.

--- a/standin/src/main/java/org/cowslippick/standin/bench/BenchSettings.java
+++ b/standin/src/main/java/org/cowslippick/standin/bench/BenchSettings.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
 import java.util.Arrays;
+import java.util.Locale;
 import java.util.OptionalDouble;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -43,8 +44,9 @@
     }
 
     private static String organisation(int number, OptionalDouble requestsPerSecond) {
-        String limit =
-                requestsPerSecond.isPresent() ? "requests-per-second = " + requestsPerSecond.getAsDouble() + "\n" : "";
+        String limit = requestsPerSecond.isPresent()
+                ? String.format(Locale.ROOT, "requests-per-second = %.6f%n", requestsPerSecond.getAsDouble())
+                : "";
         return "[organisation organisation-" + number + "]\ntiers = urgent, standard, batch\ncredential-sha256 = "
                 + SettingsTree.hashOf(credential(number)) + "\n" + limit;
     }
