--- a/standin/src/main/java/org/cowslippick/standin/StandinCommand.java
+++ b/standin/src/main/java/org/cowslippick/standin/StandinCommand.java
@@ -9,15 +9,25 @@
 /** The command line of the demo and the benches. */
 public final class StandinCommand {
 
+    private static final int EXIT_FAILED = 1;
     private static final int EXIT_USAGE = 2;
 
     private StandinCommand() {}
 
     /** Runs the subcommand that the first argument names. */
     public static void main(String[] arguments) throws IOException, InterruptedException {
+        Thread.setDefaultUncaughtExceptionHandler(StandinCommand::failed);
         System.exit(run(List.copyOf(Arrays.asList(arguments))));
     }
 
+    /** Ends the process, which the threads of its servers would keep alive. */
+    private static void failed(Thread thread, Throwable failure) {
+        System.err.println("thread " + thread.getName() + " failed: " + failure);
+        if (thread.getName().equals("main")) {
+            System.exit(EXIT_FAILED);
+        }
+    }
+
     private static int run(List<String> arguments) throws IOException, InterruptedException {
         String subcommand = arguments.stream().findFirst().orElse("");
         List<String> rest = arguments.stream().skip(1).toList();
