Operators can commit settings through an entry

Cause: 'settings set' over a running entry ended with status 405: the route of the read answered the write as well. Seen with a demo and the command line as separate processes. Change: one route with both methods. Tests: a commit with two faults is refused with both listed, and one without an operator's credential is refused.

--- a/entry/src/main/java/org/cowslippick/entry/door/FrontDoor.java
+++ b/entry/src/main/java/org/cowslippick/entry/door/FrontDoor.java
@@ -94,8 +94,10 @@
                         "v1/status",
                         operators(context ->
                                 Answers.json(context, 200, parts.status().get())))
-                .get("v1/settings", operators(settings::read))
-                .post("v1/settings", operators(settings::commit))
+                .path(
+                        "v1/settings",
+                        operators(context -> context.byMethod(
+                                methods -> methods.get(settings::read).post(settings::commit))))
                 .get(
                         "v1/organisations/:organisation/record",
                         new RecordHandler(parts.admission(), parts.record(), parts.entry()))
--- a/standin/src/main/java/org/cowslippick/standin/demo/DemoCaller.java
+++ b/standin/src/main/java/org/cowslippick/standin/demo/DemoCaller.java
@@ -5,7 +5,9 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import ratpack.exec.internal.DefaultExecController;
+import ratpack.http.MutableHeaders;
 import ratpack.http.client.HttpClient;
 
 /** Sends single requests and waits for whole answers. */
@@ -33,12 +35,23 @@
     }
 
     Answer send(HostAndPort address, String service, String tier, Optional<String> idempotencyKey, String body) {
+        return post(address, "/v1/services/" + service + "/requests", body, headers -> {
+            headers.set("X-Tier", tier);
+            idempotencyKey.ifPresent(key -> headers.set("Idempotency-Key", key));
+        });
+    }
+
+    /** Commits settings, as an operator does. */
+    Answer commit(HostAndPort address, String body) {
+        return post(address, "/v1/settings", body, _headers -> {});
+    }
+
+    private Answer post(HostAndPort address, String path, String body, Consumer<MutableHeaders> more) {
         CompletableFuture<Answer> answer = new CompletableFuture<>();
-        URI uri = URI.create("http://" + address + "/v1/services/" + service + "/requests");
+        URI uri = URI.create("http://" + address + path);
         controller.fork().onError(answer::completeExceptionally).start(_execution -> client.post(uri, spec -> {
                     spec.getHeaders().set("Authorization", "Bearer " + credential);
-                    spec.getHeaders().set("X-Tier", tier);
-                    idempotencyKey.ifPresent(key -> spec.getHeaders().set("Idempotency-Key", key));
+                    more.accept(spec.getHeaders());
                     spec.getBody().type("application/json").text(body);
                 })
                 .then(response -> answer.complete(
--- a/standin/src/test/java/org/cowslippick/standin/demo/WholePathTest.java
+++ b/standin/src/test/java/org/cowslippick/standin/demo/WholePathTest.java
@@ -78,6 +78,18 @@
                 ErrorKind.BODY_TOO_LARGE, caller.send(entry(0), "chat", "urgent", "{\"prompt\":\"" + prompt + "\"}"));
     }
 
+    @Test
+    void onlyAnOperatorCommitsSettingsAndFaultsAreListed() {
+        String faulty = "{\"baseRevision\":1,\"ini\":\"[tier urgent]\\nrank = first\\n\"}";
+        assertRefused(ErrorKind.UNAUTHENTICATED, caller.commit(entry(0), faulty));
+        try (DemoCaller operator = new DemoCaller(DemoSettings.OPERATOR_CREDENTIAL)) {
+            DemoCaller.Answer refused = operator.commit(entry(0), faulty);
+            assertRefused(ErrorKind.SETTINGS_INVALID, refused);
+            assertEquals(
+                    2, Json.read(refused.body()).orElseThrow().path("faults").size(), refused.body());
+        }
+    }
+
     @Test
     void aBookingSentThreeTimesRunsOnce() {
         int before = site.application().runs().size();
