Owners of pools grant slots; quotas are shared by reports

Ruled out: shares of slots per instance (18 of 130 slots each, no multiplexing). Change: one queue per service and region at a rendezvous owner; an instance asks it by MessagePack over the peer network and decides alone when it is silent; requests that can be on time go first; reports carry use of quotas.

--- a/fleet/src/main/java/org/cowslippick/fleet/peer/TcpPeerNetwork.java
+++ b/fleet/src/main/java/org/cowslippick/fleet/peer/TcpPeerNetwork.java
@@ -48,7 +48,8 @@
     private final Supplier<PeerIdentity> self;
     private final MessageTypes types;
     private final FrameCodec codec;
-    private final EventLoopGroup group = new NioEventLoopGroup(NETWORK_THREADS);
+    private final EventLoopGroup group;
+    private final boolean ownsGroup;
     private final Dialler dialler;
     private final Acceptor acceptor;
     private final Subscribers subscribers = new Subscribers();
@@ -56,7 +57,7 @@
     private final Map<InstanceName, OutboundConnection> connections = new ConcurrentHashMap<>();
     private final Subscription heartbeats;
 
-    /** Creates a network that sends at once and receives after {@link #listen(HostAndPort)}. */
+    /** Creates a network with threads of its own; it sends at once and receives after {@link #listen(HostAndPort)}. */
     public TcpPeerNetwork(
             TimerService timer,
             Timeline timeline,
@@ -64,6 +65,32 @@
             Supplier<PeerIdentity> self,
             Supplier<ClusterKeys> keys,
             ImmutableSet<MessageType<?>> messageTypes) {
+        this(timer, timeline, directory, self, keys, messageTypes, new NioEventLoopGroup(NETWORK_THREADS), true);
+    }
+
+    /** Creates a network on event loops of the caller's, on which all handlers are called. */
+    public static TcpPeerNetwork on(
+            EventLoopGroup loops,
+            TimerService timer,
+            Timeline timeline,
+            PeerDirectory directory,
+            Supplier<PeerIdentity> self,
+            Supplier<ClusterKeys> keys,
+            ImmutableSet<MessageType<?>> messageTypes) {
+        return new TcpPeerNetwork(timer, timeline, directory, self, keys, messageTypes, loops, false);
+    }
+
+    private TcpPeerNetwork(
+            TimerService timer,
+            Timeline timeline,
+            PeerDirectory directory,
+            Supplier<PeerIdentity> self,
+            Supplier<ClusterKeys> keys,
+            ImmutableSet<MessageType<?>> messageTypes,
+            EventLoopGroup group,
+            boolean ownsGroup) {
+        this.group = group;
+        this.ownsGroup = ownsGroup;
         this.timer = timer;
         this.timeline = timeline;
         this.directory = directory;
@@ -121,7 +148,10 @@
         heartbeats.cancel();
         connections.values().forEach(OutboundConnection::close);
         acceptor.close();
-        group.shutdownGracefully(0, SHUTDOWN_LIMIT_SECONDS, TimeUnit.SECONDS).awaitUninterruptibly();
+        if (ownsGroup) {
+            group.shutdownGracefully(0, SHUTDOWN_LIMIT_SECONDS, TimeUnit.SECONDS)
+                    .awaitUninterruptibly();
+        }
     }
 
     private OutboundConnection connection(InstanceName peer) {
--- a/relay/src/main/java/org/cowslippick/relay/flow/Flow.java
+++ b/relay/src/main/java/org/cowslippick/relay/flow/Flow.java
@@ -16,7 +16,6 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicLong;
 import org.cowslippick.core.error.ErrorKind;
 import org.cowslippick.core.error.Failure;
 import org.cowslippick.core.routing.LiveEndpoint;
@@ -30,8 +29,10 @@
 import org.cowslippick.relay.log.LogLine;
 import org.cowslippick.relay.message.CallerRequest;
 import org.cowslippick.relay.message.RequestReader;
+import org.cowslippick.relay.slot.SlotListener;
 import org.cowslippick.scheduler.slot.AnswerOutcome;
 import org.cowslippick.scheduler.slot.SlotDecision;
+import org.cowslippick.scheduler.slot.SlotKey;
 import org.cowslippick.scheduler.slot.SlotRequest;
 
 /**
@@ -40,11 +41,6 @@
  */
 final class Flow implements CallerListener, SlotListener {
 
-    private static final AtomicLong KEYS = new AtomicLong();
-
-    /** The part of the target that is left for the endpoint's own work when a request is still called on time. */
-    private static final double WAIT_SHARE_OF_TARGET = 0.8;
-
     private static final int MAXIMUM_WHOLE_ANSWER_BYTES = 1 << 20;
     private static final Duration RETRY_AFTER_REFUSAL = Duration.ofMillis(100);
 
@@ -58,7 +54,7 @@
     private Optional<Subscription> expiry = Optional.empty();
     private Optional<Attempt> attempt = Optional.empty();
     private String cause = "";
-    private long key;
+    private Optional<SlotKey> key = Optional.empty();
     private boolean waiting;
     private boolean mayHaveRun;
     private boolean begun;
@@ -94,7 +90,7 @@
     public void granted(SlotDecision.Granted grant) {
         waiting = false;
         grantedAtNanos = now();
-        Attempt started = new Attempt(grant.endpoint(), key);
+        Attempt started = new Attempt(grant.endpoint(), grant.request().key());
         attempt = Optional.of(started);
         sentTo.add(grant.endpoint().id());
         started.handle = Optional.of(parts.connections().send(grant.endpoint(), dispatch(grant.endpoint()), started));
@@ -113,20 +109,20 @@
     }
 
     private void askForSlot() {
-        key = KEYS.incrementAndGet();
+        SlotKey next = parts.slots().nextKey();
+        key = Optional.of(next);
         waiting = true;
         parts.slots()
                 .ask(
                         admission.service(),
                         new SlotRequest(
-                                key,
+                                next,
                                 admission.rank(),
                                 request.promptTokens(),
                                 request.answerTokens(),
                                 request.arrivedAtNanos(),
                                 request.arrivedAtNanos()
-                                        + (long) (WAIT_SHARE_OF_TARGET
-                                                * admission.route().target().toNanos()),
+                                        + admission.route().target().toNanos(),
                                 expiresAtNanos,
                                 ImmutableSet.copyOf(sentTo)),
                         this);
@@ -194,7 +190,7 @@
         over = true;
         expiry.ifPresent(Subscription::cancel);
         if (waiting) {
-            parts.slots().withdraw(admission.service(), key);
+            key.ifPresent(parts.slots()::withdraw);
         }
         attempt.ifPresent(present -> present.release(AnswerOutcome.SOUND));
         if (!mayHaveRun) {
@@ -256,14 +252,14 @@
     /** One dispatch to one endpoint, and the answer to it. */
     private final class Attempt implements AnswerListener {
         private final LiveEndpoint endpoint;
-        private final long slot;
+        private final SlotKey slot;
         private Optional<EndpointConnections.Handle> handle = Optional.empty();
         private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
         private Optional<HttpResponse> head = Optional.empty();
         private boolean released;
         private boolean streaming;
 
-        Attempt(LiveEndpoint endpoint, long slot) {
+        Attempt(LiveEndpoint endpoint, SlotKey slot) {
             this.endpoint = endpoint;
             this.slot = slot;
         }
@@ -330,7 +326,7 @@
             released = true;
             handle.ifPresent(EndpointConnections.Handle::cancel);
             handle = Optional.empty();
-            parts.slots().ended(admission.service(), slot, outcome);
+            parts.slots().ended(slot, outcome);
         }
 
         private void whole(ByteBuf bytes) {
@@ -353,7 +349,7 @@
                 firstPartAtNanos = now();
                 exchange.begin(received.status(), RequestReader.answerHeaders(received.headers()));
             }
-            parts.slots().answered(admission.service(), slot);
+            parts.slots().answered(slot);
             exchange.part(Unpooled.wrappedBuffer(complete));
         }
 
@@ -391,7 +387,7 @@
                 return;
             }
             firstPartAtNanos = now();
-            parts.slots().answered(admission.service(), slot);
+            parts.slots().answered(slot);
             release(endpointFailed ? AnswerOutcome.ERROR_ANSWER : AnswerOutcome.SOUND);
             exchange.answer(
                     received.status(),
--- a/relay/src/main/java/org/cowslippick/relay/flow/FlowParts.java
+++ b/relay/src/main/java/org/cowslippick/relay/flow/FlowParts.java
@@ -5,6 +5,7 @@
 import org.cowslippick.core.time.TimerService;
 import org.cowslippick.relay.endpoint.EndpointConnections;
 import org.cowslippick.relay.message.HeaderNames;
+import org.cowslippick.relay.slot.SlotBroker;
 
 /** What every flow needs. */
 public record FlowParts(
--- a/relay/src/main/java/org/cowslippick/relay/limit/SharedQuotas.java
+++ b/relay/src/main/java/org/cowslippick/relay/limit/SharedQuotas.java
@@ -18,14 +18,15 @@
  */
 public final class SharedQuotas implements QuotaGate {
 
-    /** A process that starts knows nothing of what was used before; it starts with this part of the burst. */
-    private static final double FIRST_SHARE_OF_BURST = 0.25;
+    /** What is used elsewhere while the reports of it are on their way has to fit into the burst as well. */
+    private static final double USED_SHARE_OF_BURST = 0.7;
 
     private static final Duration LONGEST_RETRY_AFTER = Duration.ofSeconds(5);
 
     private final TimerService timer;
     private final Map<OrganisationName, Bucket> buckets = new HashMap<>();
     private final Map<OrganisationName, Long> usedHere = new HashMap<>();
+    private double share = 1;
 
     public SharedQuotas(TimerService timer) {
         this.timer = timer;
@@ -51,6 +52,11 @@
         }
     }
 
+    /** Sets the part of all quotas that may be used by the instances that can be heard, this one included. */
+    public void share(double part) {
+        share = part;
+    }
+
     /** What was used here since the process started, for each organisation. */
     public ImmutableMap<OrganisationName, Long> usedHere() {
         return ImmutableMap.copyOf(usedHere);
@@ -64,25 +70,26 @@
 
     private Bucket bucket(OrganisationAccess organisation, long now) {
         Bucket bucket =
-                buckets.computeIfAbsent(organisation.name(), _name -> Bucket.starting(organisation.quota(), now));
-        if (!bucket.quota().equals(organisation.quota())) {
-            bucket.tokens()
-                    .resize(
-                            organisation.quota().perSecond(),
-                            organisation.quota().burst(),
-                            now);
-            bucket = new Bucket(organisation.quota(), bucket.tokens());
+                buckets.computeIfAbsent(organisation.name(), _name -> Bucket.empty(organisation.quota(), share, now));
+        if (!bucket.quota().equals(organisation.quota()) || bucket.share() != share) {
+            bucket.tokens().resize(share * organisation.quota().perSecond(), burst(organisation.quota()), now);
+            bucket = new Bucket(organisation.quota(), share, bucket.tokens());
             buckets.put(organisation.name(), bucket);
         }
         return bucket;
     }
 
-    private record Bucket(Quota quota, TokenBucket tokens) {
+    private static double burst(Quota quota) {
+        return USED_SHARE_OF_BURST * quota.burst();
+    }
+
+    private record Bucket(Quota quota, double share, TokenBucket tokens) {
 
-        static Bucket starting(Quota quota, long now) {
-            TokenBucket tokens = new TokenBucket(quota.perSecond(), quota.burst(), now);
-            tokens.add(-(1 - FIRST_SHARE_OF_BURST) * quota.burst());
-            return new Bucket(quota, tokens);
+        /** A process that starts does not know what was used before, so it starts with nothing. */
+        static Bucket empty(Quota quota, double share, long now) {
+            TokenBucket tokens = new TokenBucket(share * quota.perSecond(), burst(quota), now);
+            tokens.add(-burst(quota));
+            return new Bucket(quota, share, tokens);
         }
     }
 }
--- /dev/null
+++ b/relay/src/main/java/org/cowslippick/relay/peer/FleetSlots.java
@@ -0,0 +1,353 @@
+package org.cowslippick.relay.peer;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.cowslippick.core.routing.LiveEndpoint;
+import org.cowslippick.core.time.TimerService;
+import org.cowslippick.core.time.TimerService.Subscription;
+import org.cowslippick.core.world.Instance;
+import org.cowslippick.core.world.InstanceName;
+import org.cowslippick.core.world.ServiceName;
+import org.cowslippick.fleet.ownership.Rendezvous;
+import org.cowslippick.fleet.peer.PeerIdentity;
+import org.cowslippick.fleet.peer.PeerNetwork;
+import org.cowslippick.fleet.wire.MessageType;
+import org.cowslippick.fleet.wire.PeerMessage;
+import org.cowslippick.relay.log.LogLine;
+import org.cowslippick.relay.slot.OwnedSlots;
+import org.cowslippick.relay.slot.SlotBroker;
+import org.cowslippick.relay.slot.SlotListener;
+import org.cowslippick.scheduler.slot.AnswerOutcome;
+import org.cowslippick.scheduler.slot.PoolLoad;
+import org.cowslippick.scheduler.slot.SlotDecision;
+import org.cowslippick.scheduler.slot.SlotKey;
+import org.cowslippick.scheduler.slot.SlotPool;
+import org.cowslippick.scheduler.slot.SlotRequest;
+import org.jboss.logging.Logger;
+
+/**
+ * Asks the owner of a pool for slots. The owner is the member of the pool's region with the highest rendezvous weight;
+ * an owner that does not answer at once is passed over, and this instance decides alone. Two owners at a time may fill
+ * an endpoint too far, but nothing that must hold depends on there being one.
+ */
+public final class FleetSlots implements SlotBroker {
+
+    /** The message types of this package, for the registry of message types. */
+    public static final ImmutableSet<MessageType<?>> MESSAGE_TYPES = ImmutableSet.<MessageType<?>>builder()
+            .addAll(SlotMessages.types())
+            .add(InstanceReport.TYPE)
+            .build();
+
+    private static final Logger LOGGER = Logger.getLogger("cowslippick.slots");
+
+    /** Several round trips within a region. */
+    private static final Duration NEAR_ANSWER_TIMEOUT = Duration.ofMillis(60);
+
+    /** A round trip between regions takes 60 ms. */
+    private static final Duration FAR_ANSWER_TIMEOUT = Duration.ofMillis(150);
+
+    private static final Duration PASSED_OVER_FOR = Duration.ofSeconds(1);
+
+    private final InstanceName self;
+    private final Fleet fleet;
+    private final OwnedSlots owned;
+    private final TimerService timer;
+    private final PeerNetwork network;
+    private final PoolChoice choice;
+    private final Map<SlotKey, Entry> entries = new HashMap<>();
+    private final Map<InstanceName, Long> passedOverUntilNanos = new HashMap<>();
+    private long lastNumber;
+
+    /** Creates the broker and starts the fleet's reports. */
+    public FleetSlots(Instance self, Fleet fleet, OwnedSlots owned, TimerService timer, PeerNetwork network) {
+        this.self = self.name();
+        this.fleet = fleet;
+        this.owned = owned;
+        this.timer = timer;
+        this.network = network;
+        this.choice = new PoolChoice(self.region());
+        network.subscribe(SlotMessages.Ask.class, this::asked);
+        network.subscribe(SlotMessages.Adopt.class, this::adopted);
+        network.subscribe(
+                SlotMessages.Answered.class,
+                (sender, message) -> owned.answered(message.pool(), key(sender, message.number())));
+        network.subscribe(
+                SlotMessages.Ended.class,
+                (sender, message) -> owned.ended(message.pool(), key(sender, message.number()), message.outcome()));
+        network.subscribe(
+                SlotMessages.Withdrawn.class,
+                (sender, message) -> owned.withdraw(message.pool(), key(sender, message.number())));
+        network.subscribe(SlotMessages.Granted.class, this::granted);
+        network.subscribe(SlotMessages.Refused.class, this::refused);
+        network.subscribe(SlotMessages.Queued.class, this::queued);
+        fleet.start(network, pool -> owner(pool).equals(this.self), this::reassign);
+    }
+
+    @Override
+    public SlotKey nextKey() {
+        lastNumber++;
+        return new SlotKey(self, lastNumber);
+    }
+
+    @Override
+    public void ask(ServiceName service, SlotRequest request, SlotListener listener) {
+        SlotPool pool = choice.choose(service, owned.pools(), this::load);
+        Entry entry = new Entry(pool, request, listener);
+        entries.put(request.key(), entry);
+        ask(entry);
+    }
+
+    @Override
+    public void withdraw(SlotKey key) {
+        Optional.ofNullable(entries.remove(key)).ifPresent(entry -> {
+            entry.cancelTimeout();
+            if (entry.owner.equals(self)) {
+                owned.withdraw(entry.pool, key);
+            } else {
+                send(entry.owner, new SlotMessages.Withdrawn(entry.pool, key.number()));
+            }
+        });
+    }
+
+    @Override
+    public void answered(SlotKey key) {
+        Optional.ofNullable(entries.get(key)).ifPresent(entry -> {
+            if (entry.owner.equals(self)) {
+                owned.answered(entry.pool, key);
+            } else if (!entry.answered) {
+                send(entry.owner, new SlotMessages.Answered(entry.pool, key.number()));
+            }
+            entry.answered = true;
+        });
+    }
+
+    @Override
+    public void ended(SlotKey key, AnswerOutcome outcome) {
+        Optional.ofNullable(entries.remove(key)).ifPresent(entry -> {
+            if (entry.owner.equals(self)) {
+                owned.ended(entry.pool, key, outcome);
+            } else {
+                send(entry.owner, new SlotMessages.Ended(entry.pool, key.number(), outcome));
+            }
+        });
+    }
+
+    private void ask(Entry entry) {
+        entry.owner = owner(entry.pool);
+        SlotKey key = entry.request.key();
+        if (entry.owner.equals(self)) {
+            decideHere(entry);
+            return;
+        }
+        boolean near = fleet.members().stream()
+                .anyMatch(
+                        member -> member.name().equals(self) && member.region().equals(entry.pool.region()));
+        send(entry.owner, new SlotMessages.Ask(entry.pool, SlotMessages.Wanted.of(entry.request, timer.nanoTime())));
+        entry.timeout =
+                Optional.of(timer.after(near ? NEAR_ANSWER_TIMEOUT : FAR_ANSWER_TIMEOUT, () -> passOver(key, entry)));
+    }
+
+    private void decideHere(Entry entry) {
+        owned.ask(entry.pool, entry.request, new SlotListener() {
+            @Override
+            public void granted(SlotDecision.Granted grant) {
+                entry.held = Optional.of(grant.endpoint().id());
+                entry.listener.granted(grant);
+            }
+
+            @Override
+            public void refused(SlotDecision.Refused refusal) {
+                entries.remove(refusal.request().key());
+                entry.listener.refused(refusal);
+            }
+        });
+    }
+
+    /** The owner did not answer in time: this instance decides, and does so for a while. */
+    private void passOver(SlotKey key, Entry entry) {
+        LOGGER.warn(LogLine.of("owner-silent")
+                .with("owner", entry.owner.value())
+                .with("service", entry.pool.service().value())
+                .with("region", entry.pool.region().name()));
+        passedOverUntilNanos.put(entry.owner, timer.nanoTime() + PASSED_OVER_FOR.toNanos());
+        send(entry.owner, new SlotMessages.Withdrawn(entry.pool, key.number()));
+        entry.owner = self;
+        decideHere(entry);
+    }
+
+    /** Moves what waits, and what holds a slot, to the owners of the moment. */
+    private void reassign() {
+        ImmutableList.copyOf(entries.values()).stream()
+                .filter(entry -> !entry.owner.equals(owner(entry.pool)))
+                .forEach(this::move);
+    }
+
+    private void move(Entry entry) {
+        if (!entries.containsKey(entry.request.key())) {
+            return;
+        }
+        if (entry.held.isEmpty()) {
+            entry.cancelTimeout();
+            if (entry.owner.equals(self)) {
+                owned.withdraw(entry.pool, entry.request.key());
+            }
+            ask(entry);
+            return;
+        }
+        if (entry.owner.equals(self)) {
+            owned.ended(entry.pool, entry.request.key(), AnswerOutcome.SOUND);
+        }
+        entry.owner = owner(entry.pool);
+        if (entry.owner.equals(self)) {
+            owned.adopt(entry.pool, entry.request, entry.held.get());
+        } else {
+            send(
+                    entry.owner,
+                    new SlotMessages.Adopt(
+                            entry.pool, SlotMessages.Wanted.of(entry.request, timer.nanoTime()), entry.held.get()));
+        }
+    }
+
+    private InstanceName owner(SlotPool pool) {
+        long now = timer.nanoTime();
+        String key = pool.service().value() + "/" + pool.region().name();
+        ImmutableList<Instance> candidates = fleet.members().stream()
+                .filter(member ->
+                        member.name().equals(self) || now - passedOverUntilNanos.getOrDefault(member.name(), now) >= 0)
+                .collect(ImmutableList.toImmutableList());
+        ImmutableList<Instance> near = candidates.stream()
+                .filter(member -> member.region().equals(pool.region()))
+                .collect(ImmutableList.toImmutableList());
+        return (near.isEmpty() ? candidates : near)
+                .stream()
+                        .map(Instance::name)
+                        .max(Comparator.comparingLong(name -> Rendezvous.weight(name, key)))
+                        .orElse(self);
+    }
+
+    private PoolLoad load(SlotPool pool) {
+        return owner(pool).equals(self) ? owned.load(pool) : fleet.load(pool).orElseGet(() -> owned.load(pool));
+    }
+
+    private void asked(PeerIdentity sender, SlotMessages.Ask message) {
+        SlotKey key = key(sender, message.wanted().number());
+        RemoteListener listener = new RemoteListener(sender.name(), message.pool());
+        owned.ask(message.pool(), message.wanted().toRequest(key, timer.nanoTime()), listener);
+        if (!listener.told) {
+            send(sender.name(), new SlotMessages.Queued(message.pool(), key.number()));
+        }
+    }
+
+    private void adopted(PeerIdentity sender, SlotMessages.Adopt message) {
+        SlotKey key = key(sender, message.wanted().number());
+        owned.adopt(message.pool(), message.wanted().toRequest(key, timer.nanoTime()), message.endpoint());
+    }
+
+    private void queued(PeerIdentity sender, SlotMessages.Queued message) {
+        waitingAt(sender, message.number()).ifPresent(Entry::cancelTimeout);
+    }
+
+    private void granted(PeerIdentity sender, SlotMessages.Granted message) {
+        Optional<Entry> entry = waitingAt(sender, message.number());
+        Optional<LiveEndpoint> endpoint = owned.endpoints(message.pool()).stream()
+                .filter(known -> known.id().equals(message.endpoint()) && !known.leaving())
+                .findFirst();
+        if (entry.isEmpty() || endpoint.isEmpty()) {
+            send(sender.name(), new SlotMessages.Ended(message.pool(), message.number(), AnswerOutcome.SOUND));
+            entry.ifPresent(waiting -> {
+                waiting.cancelTimeout();
+                waiting.owner = self;
+                decideHere(waiting);
+            });
+            return;
+        }
+        entry.get().cancelTimeout();
+        entry.get().held = Optional.of(message.endpoint());
+        entry.get()
+                .listener
+                .granted(new SlotDecision.Granted(entry.get().request, endpoint.get(), message.predictedNanos()));
+    }
+
+    private void refused(PeerIdentity sender, SlotMessages.Refused message) {
+        waitingAt(sender, message.number()).ifPresent(entry -> {
+            entry.cancelTimeout();
+            entries.remove(entry.request.key());
+            entry.listener.refused(
+                    new SlotDecision.Refused(entry.request, message.reason(), message.retryAfterNanos()));
+        });
+    }
+
+    private Optional<Entry> waitingAt(PeerIdentity owner, long number) {
+        return Optional.ofNullable(entries.get(new SlotKey(self, number)))
+                .filter(entry -> entry.owner.equals(owner.name()) && entry.held.isEmpty());
+    }
+
+    private static SlotKey key(PeerIdentity sender, long number) {
+        return new SlotKey(sender.name(), number);
+    }
+
+    private void send(InstanceName receiver, PeerMessage message) {
+        network.send(receiver, message);
+    }
+
+    /** A request of this instance that waits for a slot or holds one. */
+    private static final class Entry {
+        private final SlotPool pool;
+        private final SlotRequest request;
+        private final SlotListener listener;
+        private InstanceName owner;
+        private Optional<Subscription> timeout = Optional.empty();
+        private Optional<String> held = Optional.empty();
+        private boolean answered;
+
+        Entry(SlotPool pool, SlotRequest request, SlotListener listener) {
+            this.pool = pool;
+            this.request = request;
+            this.listener = listener;
+            this.owner = request.key().instance();
+        }
+
+        void cancelTimeout() {
+            timeout.ifPresent(Subscription::cancel);
+            timeout = Optional.empty();
+        }
+    }
+
+    /** Sends the decision about another instance's request to it. */
+    private final class RemoteListener implements SlotListener {
+        private final InstanceName receiver;
+        private final SlotPool pool;
+        private boolean told;
+
+        RemoteListener(InstanceName receiver, SlotPool pool) {
+            this.receiver = receiver;
+            this.pool = pool;
+        }
+
+        @Override
+        public void granted(SlotDecision.Granted grant) {
+            told = true;
+            send(
+                    receiver,
+                    new SlotMessages.Granted(
+                            pool,
+                            grant.request().key().number(),
+                            grant.endpoint().id(),
+                            grant.predictedNanos()));
+        }
+
+        @Override
+        public void refused(SlotDecision.Refused refusal) {
+            told = true;
+            send(
+                    receiver,
+                    new SlotMessages.Refused(
+                            pool, refusal.request().key().number(), refusal.reason(), refusal.retryAfterNanos()));
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/cowslippick/relay/peer/InstanceReport.java
@@ -0,0 +1,70 @@
+package org.cowslippick.relay.peer;
+
+import com.google.common.collect.ImmutableList;
+import org.cowslippick.core.world.OrganisationName;
+import org.cowslippick.core.world.Region;
+import org.cowslippick.core.world.ServiceName;
+import org.cowslippick.fleet.wire.MessageReader;
+import org.cowslippick.fleet.wire.MessageType;
+import org.cowslippick.fleet.wire.MessageWriter;
+import org.cowslippick.fleet.wire.PeerMessage;
+import org.cowslippick.fleet.wire.Priority;
+import org.cowslippick.scheduler.slot.PoolLoad;
+import org.cowslippick.scheduler.slot.SlotPool;
+
+/**
+ * What an instance tells all others several times a second.
+ *
+ * @param serving whether callers may be sent to it
+ * @param configuration the version that it has in force
+ * @param usage tokens or requests used since its process started, by organisation
+ * @param pools how busy the pools are that it owns
+ */
+record InstanceReport(boolean serving, long configuration, ImmutableList<Usage> usage, ImmutableList<OwnedPool> pools)
+        implements PeerMessage {
+
+    static final MessageType<InstanceReport> TYPE = new MessageType<>(
+            80, InstanceReport.class, Priority.DROPPABLE, InstanceReport::encode, InstanceReport::decode);
+
+    /** What one organisation used. */
+    record Usage(OrganisationName organisation, long used) {
+
+        private static void encode(Usage usage, MessageWriter writer) {
+            writer.text(usage.organisation.value());
+            writer.number(usage.used);
+        }
+
+        private static Usage decode(MessageReader reader) {
+            return new Usage(new OrganisationName(reader.text()), reader.number());
+        }
+    }
+
+    /** How busy one pool is. */
+    record OwnedPool(SlotPool pool, PoolLoad load) {
+
+        private static void encode(OwnedPool owned, MessageWriter writer) {
+            writer.text(owned.pool.service().value());
+            writer.text(owned.pool.region().name());
+            writer.number(owned.load.freeSlots());
+            writer.number(owned.load.waiting());
+        }
+
+        private static OwnedPool decode(MessageReader reader) {
+            return new OwnedPool(
+                    new SlotPool(new ServiceName(reader.text()), new Region(reader.text())),
+                    new PoolLoad(reader.integer(), reader.integer()));
+        }
+    }
+
+    private static void encode(InstanceReport report, MessageWriter writer) {
+        writer.flag(report.serving);
+        writer.number(report.configuration);
+        writer.list(report.usage, Usage::encode);
+        writer.list(report.pools, OwnedPool::encode);
+    }
+
+    private static InstanceReport decode(MessageReader reader) {
+        return new InstanceReport(
+                reader.flag(), reader.number(), reader.list(Usage::decode), reader.list(OwnedPool::decode));
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/cowslippick/relay/peer/SlotMessages.java
@@ -0,0 +1,214 @@
+package org.cowslippick.relay.peer;
+
+import com.google.common.collect.ImmutableSet;
+import org.cowslippick.core.world.Region;
+import org.cowslippick.core.world.ServiceName;
+import org.cowslippick.fleet.wire.MessageReader;
+import org.cowslippick.fleet.wire.MessageType;
+import org.cowslippick.fleet.wire.MessageWriter;
+import org.cowslippick.fleet.wire.PeerMessage;
+import org.cowslippick.fleet.wire.Priority;
+import org.cowslippick.scheduler.slot.AnswerOutcome;
+import org.cowslippick.scheduler.slot.SlotDecision;
+import org.cowslippick.scheduler.slot.SlotKey;
+import org.cowslippick.scheduler.slot.SlotPool;
+import org.cowslippick.scheduler.slot.SlotRequest;
+
+/** Messages between the instance that holds a caller and the owner of a pool. Times travel as distances from now. */
+final class SlotMessages {
+
+    private SlotMessages() {}
+
+    /** All types of this class, for the registry of message types. */
+    static ImmutableSet<MessageType<?>> types() {
+        return ImmutableSet.of(
+                new MessageType<>(64, Ask.class, Priority.ESSENTIAL, Ask::encode, Ask::decode),
+                new MessageType<>(65, Adopt.class, Priority.ESSENTIAL, Adopt::encode, Adopt::decode),
+                new MessageType<>(66, Answered.class, Priority.DROPPABLE, Answered::encode, Answered::decode),
+                new MessageType<>(67, Ended.class, Priority.ESSENTIAL, Ended::encode, Ended::decode),
+                new MessageType<>(68, Withdrawn.class, Priority.ESSENTIAL, Withdrawn::encode, Withdrawn::decode),
+                new MessageType<>(69, Granted.class, Priority.ESSENTIAL, Granted::encode, Granted::decode),
+                new MessageType<>(70, Refused.class, Priority.ESSENTIAL, Refused::encode, Refused::decode),
+                new MessageType<>(71, Queued.class, Priority.ESSENTIAL, Queued::encode, Queued::decode));
+    }
+
+    /** A request as it is sent: the times relative to the moment of sending. */
+    record Wanted(
+            long number,
+            int rank,
+            long promptTokens,
+            long answerTokens,
+            long waitedNanos,
+            long onTimeForNanos,
+            long expiresInNanos,
+            ImmutableSet<String> excluded) {
+
+        static Wanted of(SlotRequest request, long nowNanos) {
+            return new Wanted(
+                    request.key().number(),
+                    request.rank(),
+                    request.promptTokens(),
+                    request.answerTokens(),
+                    nowNanos - request.arrivedAtNanos(),
+                    request.onTimeUntilNanos() - nowNanos,
+                    request.expiresAtNanos() - nowNanos,
+                    request.excluded());
+        }
+
+        SlotRequest toRequest(SlotKey key, long nowNanos) {
+            return new SlotRequest(
+                    key,
+                    rank,
+                    promptTokens,
+                    answerTokens,
+                    nowNanos - waitedNanos,
+                    nowNanos + onTimeForNanos,
+                    nowNanos + expiresInNanos,
+                    excluded);
+        }
+
+        private static void encode(Wanted wanted, MessageWriter writer) {
+            writer.number(wanted.number);
+            writer.number(wanted.rank);
+            writer.number(wanted.promptTokens);
+            writer.number(wanted.answerTokens);
+            writer.number(wanted.waitedNanos);
+            writer.number(wanted.onTimeForNanos);
+            writer.number(wanted.expiresInNanos);
+            writer.list(wanted.excluded, (id, list) -> list.text(id));
+        }
+
+        private static Wanted decode(MessageReader reader) {
+            return new Wanted(
+                    reader.number(),
+                    reader.integer(),
+                    reader.number(),
+                    reader.number(),
+                    reader.number(),
+                    reader.number(),
+                    reader.number(),
+                    ImmutableSet.copyOf(reader.list(MessageReader::text)));
+        }
+    }
+
+    /** The sender wants a slot of the pool. */
+    record Ask(SlotPool pool, Wanted wanted) implements PeerMessage {
+
+        private static void encode(Ask message, MessageWriter writer) {
+            encodePool(message.pool, writer);
+            Wanted.encode(message.wanted, writer);
+        }
+
+        private static Ask decode(MessageReader reader) {
+            return new Ask(decodePool(reader), Wanted.decode(reader));
+        }
+    }
+
+    /** The sender holds a slot that another owner granted. */
+    record Adopt(SlotPool pool, Wanted wanted, String endpoint) implements PeerMessage {
+
+        private static void encode(Adopt message, MessageWriter writer) {
+            encodePool(message.pool, writer);
+            Wanted.encode(message.wanted, writer);
+            writer.text(message.endpoint);
+        }
+
+        private static Adopt decode(MessageReader reader) {
+            return new Adopt(decodePool(reader), Wanted.decode(reader), reader.text());
+        }
+    }
+
+    /** The first part of an answer has come. */
+    record Answered(SlotPool pool, long number) implements PeerMessage {
+
+        private static void encode(Answered message, MessageWriter writer) {
+            encodePool(message.pool, writer);
+            writer.number(message.number);
+        }
+
+        private static Answered decode(MessageReader reader) {
+            return new Answered(decodePool(reader), reader.number());
+        }
+    }
+
+    /** A slot is free again. */
+    record Ended(SlotPool pool, long number, AnswerOutcome outcome) implements PeerMessage {
+
+        private static void encode(Ended message, MessageWriter writer) {
+            encodePool(message.pool, writer);
+            writer.number(message.number);
+            writer.constant(message.outcome);
+        }
+
+        private static Ended decode(MessageReader reader) {
+            return new Ended(decodePool(reader), reader.number(), reader.constant(AnswerOutcome.class));
+        }
+    }
+
+    /** The sender no longer wants a slot for the request. */
+    record Withdrawn(SlotPool pool, long number) implements PeerMessage {
+
+        private static void encode(Withdrawn message, MessageWriter writer) {
+            encodePool(message.pool, writer);
+            writer.number(message.number);
+        }
+
+        private static Withdrawn decode(MessageReader reader) {
+            return new Withdrawn(decodePool(reader), reader.number());
+        }
+    }
+
+    /** The receiver may send its request to the endpoint. */
+    record Granted(SlotPool pool, long number, String endpoint, long predictedNanos) implements PeerMessage {
+
+        private static void encode(Granted message, MessageWriter writer) {
+            encodePool(message.pool, writer);
+            writer.number(message.number);
+            writer.text(message.endpoint);
+            writer.number(message.predictedNanos);
+        }
+
+        private static Granted decode(MessageReader reader) {
+            return new Granted(decodePool(reader), reader.number(), reader.text(), reader.number());
+        }
+    }
+
+    /** The request is not going to get a slot. */
+    record Refused(SlotPool pool, long number, SlotDecision.Reason reason, long retryAfterNanos)
+            implements PeerMessage {
+
+        private static void encode(Refused message, MessageWriter writer) {
+            encodePool(message.pool, writer);
+            writer.number(message.number);
+            writer.constant(message.reason);
+            writer.number(message.retryAfterNanos);
+        }
+
+        private static Refused decode(MessageReader reader) {
+            return new Refused(
+                    decodePool(reader), reader.number(), reader.constant(SlotDecision.Reason.class), reader.number());
+        }
+    }
+
+    /** The request waits in the owner's queue. */
+    record Queued(SlotPool pool, long number) implements PeerMessage {
+
+        private static void encode(Queued message, MessageWriter writer) {
+            encodePool(message.pool, writer);
+            writer.number(message.number);
+        }
+
+        private static Queued decode(MessageReader reader) {
+            return new Queued(decodePool(reader), reader.number());
+        }
+    }
+
+    private static void encodePool(SlotPool pool, MessageWriter writer) {
+        writer.text(pool.service().value());
+        writer.text(pool.region().name());
+    }
+
+    private static SlotPool decodePool(MessageReader reader) {
+        return new SlotPool(new ServiceName(reader.text()), new Region(reader.text()));
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/cowslippick/relay/slot/OwnedSlots.java
@@ -0,0 +1,119 @@
+package org.cowslippick.relay.slot;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableMap;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.cowslippick.core.routing.LiveEndpoint;
+import org.cowslippick.core.time.TimerService;
+import org.cowslippick.core.world.InstanceName;
+import org.cowslippick.scheduler.slot.AnswerOutcome;
+import org.cowslippick.scheduler.slot.PoolLoad;
+import org.cowslippick.scheduler.slot.SlotDecision;
+import org.cowslippick.scheduler.slot.SlotKey;
+import org.cowslippick.scheduler.slot.SlotPool;
+import org.cowslippick.scheduler.slot.SlotQueue;
+import org.cowslippick.scheduler.slot.SlotRequest;
+
+/** Queues that this instance runs, one for each pool. All calls come from one event loop. */
+public final class OwnedSlots {
+
+    /** How soon a queue notices what changes by time alone, such as an endpoint that may be tried again. */
+    private static final Duration STEP_PERIOD = Duration.ofMillis(20);
+
+    private final TimerService timer;
+    private final Map<SlotPool, SlotQueue> queues = new HashMap<>();
+    private final Map<SlotKey, SlotListener> listeners = new HashMap<>();
+    private ImmutableListMultimap<SlotPool, LiveEndpoint> endpoints = ImmutableListMultimap.of();
+
+    /** Creates empty queues. */
+    public OwnedSlots(TimerService timer) {
+        this.timer = timer;
+        timer.every(STEP_PERIOD, this::advance);
+    }
+
+    /** Asks for a slot; the listener is called once, perhaps before this method returns. */
+    public void ask(SlotPool pool, SlotRequest request, SlotListener listener) {
+        listeners.put(request.key(), listener);
+        tell(queue(pool).offer(request, timer.nanoTime()));
+    }
+
+    /** Takes over a request that another owner granted a slot. */
+    public void adopt(SlotPool pool, SlotRequest request, String endpoint) {
+        queue(pool).adopt(request, endpoint, timer.nanoTime());
+    }
+
+    /** Takes back a request that has not been granted a slot. */
+    public void withdraw(SlotPool pool, SlotKey key) {
+        listeners.remove(key);
+        queue(pool).withdraw(key);
+    }
+
+    /** The first part of an answer has arrived. */
+    public void answered(SlotPool pool, SlotKey key) {
+        queue(pool).answered(key, timer.nanoTime());
+    }
+
+    /** A slot is free again. */
+    public void ended(SlotPool pool, SlotKey key, AnswerOutcome outcome) {
+        tell(queue(pool).ended(key, outcome, timer.nanoTime()));
+    }
+
+    /** Forgets all requests of an instance whose process is gone. */
+    public void forget(InstanceName instance) {
+        listeners.keySet().removeIf(key -> key.instance().equals(instance));
+        ImmutableList.copyOf(queues.values()).forEach(queue -> tell(queue.forget(instance, timer.nanoTime())));
+    }
+
+    /** Takes over the endpoints that registered themselves. */
+    public void replaceEndpoints(ImmutableList<LiveEndpoint> current) {
+        endpoints = current.stream()
+                .collect(ImmutableListMultimap.toImmutableListMultimap(
+                        endpoint -> new SlotPool(
+                                endpoint.service(), endpoint.failureDomain().region()),
+                        endpoint -> endpoint));
+        endpoints.keySet().forEach(this::queue);
+        ImmutableMap.copyOf(queues)
+                .forEach((pool, queue) -> tell(queue.replaceEndpoints(endpoints.get(pool), timer.nanoTime())));
+    }
+
+    /** The endpoints of a pool. */
+    public ImmutableList<LiveEndpoint> endpoints(SlotPool pool) {
+        return endpoints.get(pool);
+    }
+
+    /** The pools that have endpoints. */
+    public ImmutableList<SlotPool> pools() {
+        return endpoints.keySet().asList();
+    }
+
+    /** How busy a pool is. */
+    public PoolLoad load(SlotPool pool) {
+        return queue(pool).load(timer.nanoTime());
+    }
+
+    private void advance() {
+        ImmutableList.copyOf(queues.values()).forEach(queue -> tell(queue.advance(timer.nanoTime())));
+    }
+
+    private SlotQueue queue(SlotPool pool) {
+        return queues.computeIfAbsent(pool, _pool -> new SlotQueue());
+    }
+
+    private void tell(ImmutableList<SlotDecision> decisions) {
+        decisions.forEach(decision -> Optional.ofNullable(
+                        listeners.remove(decision.request().key()))
+                .ifPresent(listener -> tell(decision, listener)));
+    }
+
+    private static void tell(SlotDecision decision, SlotListener listener) {
+        if (decision instanceof SlotDecision.Granted grant) {
+            listener.granted(grant);
+        } else if (decision instanceof SlotDecision.Refused refusal) {
+            listener.refused(refusal);
+        }
+    }
+}
--- a/relay/src/main/java/org/cowslippick/relay/flow/SlotBroker.java
+++ b/relay/src/main/java/org/cowslippick/relay/slot/SlotBroker.java
@@ -1,21 +1,25 @@
-package org.cowslippick.relay.flow;
+package org.cowslippick.relay.slot;
 
 import org.cowslippick.core.world.ServiceName;
 import org.cowslippick.scheduler.slot.AnswerOutcome;
+import org.cowslippick.scheduler.slot.SlotKey;
 import org.cowslippick.scheduler.slot.SlotRequest;
 
 /** Gives out the slots of the endpoints of all services. */
 public interface SlotBroker {
 
+    /** A key for the next request of this instance. */
+    SlotKey nextKey();
+
     /** Asks for a slot; the listener is called once, perhaps before this method returns. */
     void ask(ServiceName service, SlotRequest request, SlotListener listener);
 
     /** Takes back a request that has not been granted a slot. */
-    void withdraw(ServiceName service, long key);
+    void withdraw(SlotKey key);
 
     /** The first part of the answer has arrived. */
-    void answered(ServiceName service, long key);
+    void answered(SlotKey key);
 
     /** The slot is free again. */
-    void ended(ServiceName service, long key, AnswerOutcome outcome);
+    void ended(SlotKey key, AnswerOutcome outcome);
 }
--- a/relay/src/main/java/org/cowslippick/relay/flow/SlotListener.java
+++ b/relay/src/main/java/org/cowslippick/relay/slot/SlotListener.java
@@ -1,4 +1,4 @@
-package org.cowslippick.relay.flow;
+package org.cowslippick.relay.slot;
 
 import org.cowslippick.scheduler.slot.SlotDecision;
 
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointLoad.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointLoad.java
@@ -24,7 +24,7 @@
     private static final long FAILURE_MEMORY_NANOS = Duration.ofSeconds(5).toNanos();
 
     private LiveEndpoint endpoint;
-    private final Map<Long, Held> held = new HashMap<>();
+    private final Map<SlotKey, Held> held = new HashMap<>();
     private double nanosPerToken = FIRST_NANOS_PER_TOKEN;
     private double applicationNanos = FIRST_APPLICATION_NANOS;
     private double unreadTokens;
@@ -53,10 +53,6 @@
         elsewhere = count;
     }
 
-    int held() {
-        return held.size();
-    }
-
     int freeSlots() {
         return endpoint.leaving() ? 0 : endpoint.slots() - held.size() - elsewhere;
     }
@@ -78,6 +74,11 @@
         unreadTokens += work(request);
     }
 
+    /** Counts a request that has been running for an unknown time; nothing is learned from it. */
+    void adopt(SlotRequest request, long nowNanos) {
+        held.put(request.key(), new Held(work(request), work(request), nowNanos).asRead());
+    }
+
     /** The first token of a request arrived, so that its prompt has been read. */
     void answered(SlotRequest request, long nowNanos) {
         Held entry = held.get(request.key());
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -10,76 +10,89 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 import org.cowslippick.core.routing.LiveEndpoint;
-import org.cowslippick.core.world.Region;
+import org.cowslippick.core.world.InstanceName;
 
 /**
- * The slots of one service's endpoints and the requests that wait for one. An endpoint is chosen when a slot is free,
- * not on arrival. Requests that can still be on time go first, by rank; those that cannot fill what is left.
+ * The slots of a pool's endpoints and the requests that wait for one. An endpoint is chosen when a slot is free, not on
+ * arrival. Requests that can still be on time go first, by rank; those that cannot fill what is left. When the pool is
+ * overloaded this keeps fresh requests on time instead of making all of them late.
  */
 public final class SlotQueue {
 
-    /** Twice the one-way time between two regions, which a request to another region adds to its first token. */
-    private static final long REGION_ROUND_TRIP_NANOS = Duration.ofMillis(60).toNanos();
-
     /** What one sure failure is worth avoiding, as time to the first token. */
     private static final long FAILURE_PENALTY_NANOS = Duration.ofSeconds(1).toNanos();
 
-    /** The largest part of its time that a request may be expected to wait before it is refused on arrival. */
-    private static final double LONGEST_WAIT_SHARE = 0.3;
+    /** The part of its remaining time that a late request may be expected to wait for the others that are late. */
+    private static final double LONGEST_LATE_WAIT_SHARE = 0.25;
 
-    private static final Duration SHORTEST_RETRY_AFTER = Duration.ofMillis(50);
+    private static final Duration SHORTEST_RETRY_AFTER = Duration.ofMillis(200);
+    private static final Duration LONGEST_RETRY_AFTER = Duration.ofSeconds(4);
+    private static final Duration RETRY_AFTER_NO_ENDPOINT = Duration.ofMillis(500);
     private static final int MAXIMUM_WAITING = 2_000;
 
     private static final Comparator<SlotRequest> BY_RANK =
             Comparator.comparingInt(SlotRequest::rank).thenComparingLong(SlotRequest::arrivedAtNanos);
 
-    private final Region home;
     private final Map<String, EndpointLoad> endpoints = new HashMap<>();
-    private final Map<Long, SlotRequest> waiting = new LinkedHashMap<>();
-    private final Map<Long, Running> running = new HashMap<>();
+    private final Map<SlotKey, SlotRequest> waiting = new LinkedHashMap<>();
+    private final Map<SlotKey, Running> running = new HashMap<>();
     private final DispatchRate rate = new DispatchRate();
 
-    /** Creates a queue without endpoints for an instance in the given region. */
-    public SlotQueue(Region home) {
-        this.home = home;
-    }
-
     /** Adds a request; it is granted a slot, waits, or is refused. */
     public ImmutableList<SlotDecision> offer(SlotRequest request, long nowNanos) {
         if (endpoints.values().stream().noneMatch(load -> !load.endpoint().leaving())) {
-            return ImmutableList.of(new SlotDecision.Refused(
-                    request,
-                    SlotDecision.Reason.NO_ENDPOINT,
-                    Duration.ofMillis(500).toNanos()));
+            return refusal(request, SlotDecision.Reason.NO_ENDPOINT, RETRY_AFTER_NO_ENDPOINT.toNanos());
         }
-        long wait = expectedWaitNanos(request);
-        long patience = (long) (LONGEST_WAIT_SHARE * (request.expiresAtNanos() - nowNanos));
-        if (wait > patience || waiting.size() >= MAXIMUM_WAITING) {
-            return ImmutableList.of(new SlotDecision.Refused(
-                    request, SlotDecision.Reason.QUEUE_TOO_LONG, Math.max(SHORTEST_RETRY_AFTER.toNanos(), wait / 2)));
+        long wait = expectedWaitNanos(request, nowNanos);
+        boolean onTime = nowNanos + wait + fastestNanos(request, nowNanos) - request.onTimeUntilNanos() <= 0;
+        long lateWait = rate.nanosFor(waiting.size());
+        boolean worthWaiting = lateWait <= LONGEST_LATE_WAIT_SHARE * (request.expiresAtNanos() - nowNanos);
+        if (waiting.size() >= MAXIMUM_WAITING || (!onTime && !worthWaiting)) {
+            return refusal(request, SlotDecision.Reason.QUEUE_TOO_LONG, bounded(lateWait));
         }
         waiting.put(request.key(), request);
         return step(nowNanos);
     }
 
     /** Forgets a waiting request. */
-    public void withdraw(long key) {
+    public void withdraw(SlotKey key) {
         waiting.remove(key);
     }
 
     /** The first part of the answer has arrived. */
-    public void answered(long key, long nowNanos) {
+    public void answered(SlotKey key, long nowNanos) {
         Optional.ofNullable(running.get(key)).ifPresent(entry -> entry.load().answered(entry.request(), nowNanos));
     }
 
     /** A dispatch has ended, and its slot is free. */
-    public ImmutableList<SlotDecision> ended(long key, AnswerOutcome outcome, long nowNanos) {
+    public ImmutableList<SlotDecision> ended(SlotKey key, AnswerOutcome outcome, long nowNanos) {
         Optional.ofNullable(running.remove(key))
                 .ifPresent(entry -> entry.load().end(entry.request(), outcome, nowNanos));
         return step(nowNanos);
     }
 
+    /** Takes over a request that was granted its slot by another owner of this queue. */
+    public void adopt(SlotRequest request, String endpoint, long nowNanos) {
+        Optional.ofNullable(endpoints.get(endpoint))
+                .filter(_load -> !running.containsKey(request.key()))
+                .ifPresent(load -> {
+                    load.adopt(request, nowNanos);
+                    running.put(request.key(), new Running(request, load));
+                });
+    }
+
+    /** Forgets all requests of an instance whose process is gone. */
+    public ImmutableList<SlotDecision> forget(InstanceName instance, long nowNanos) {
+        waiting.keySet().removeIf(key -> key.instance().equals(instance));
+        ImmutableList.copyOf(running.keySet()).stream()
+                .filter(key -> key.instance().equals(instance))
+                .map(running::remove)
+                .forEach(entry -> entry.load().end(entry.request(), AnswerOutcome.SOUND, nowNanos));
+        return step(nowNanos);
+    }
+
     /** Replaces the endpoints; what runs on those that are gone still has to end. */
     public ImmutableList<SlotDecision> replaceEndpoints(ImmutableCollection<LiveEndpoint> current, long nowNanos) {
         ImmutableSet<String> ids = current.stream().map(LiveEndpoint::id).collect(ImmutableSet.toImmutableSet());
@@ -90,7 +103,7 @@
         return step(nowNanos);
     }
 
-    /** Takes over how many requests of other instances each endpoint holds. */
+    /** Takes over how many requests each endpoint holds that this queue does not know. */
     public ImmutableList<SlotDecision> heldElsewhere(ImmutableMap<String, Integer> counts, long nowNanos) {
         endpoints.forEach((id, load) -> load.heldElsewhere(counts.getOrDefault(id, 0)));
         return step(nowNanos);
@@ -98,14 +111,25 @@
 
     /** Decides what has become due by the passing of time. */
     public ImmutableList<SlotDecision> advance(long nowNanos) {
-        return step(nowNanos);
+        if (waiting.isEmpty()) {
+            return ImmutableList.of();
+        }
+        ImmutableList<SlotDecision> expired = ImmutableList.copyOf(waiting.values()).stream()
+                .filter(request -> nowNanos - request.expiresAtNanos() >= 0)
+                .map(request ->
+                        new SlotDecision.Refused(request, SlotDecision.Reason.EXPIRED, SHORTEST_RETRY_AFTER.toNanos()))
+                .collect(ImmutableList.toImmutableList());
+        expired.forEach(decision -> waiting.remove(decision.request().key()));
+        return Stream.concat(expired.stream(), step(nowNanos).stream()).collect(ImmutableList.toImmutableList());
     }
 
-    /** How many requests of this queue each endpoint holds. */
-    public ImmutableMap<String, Integer> held() {
-        return endpoints.values().stream()
-                .filter(load -> load.held() > 0)
-                .collect(ImmutableMap.toImmutableMap(load -> load.endpoint().id(), EndpointLoad::held));
+    /** How busy the pool is. */
+    public PoolLoad load(long nowNanos) {
+        int free = endpoints.values().stream()
+                .filter(load -> load.usable(nowNanos))
+                .mapToInt(load -> Math.max(0, load.freeSlots()))
+                .sum();
+        return new PoolLoad(free, waiting.size());
     }
 
     public int waiting() {
@@ -113,14 +137,10 @@
     }
 
     private ImmutableList<SlotDecision> step(long nowNanos) {
-        if (waiting.isEmpty()) {
-            return ImmutableList.of();
-        }
         ImmutableList.Builder<SlotDecision> decisions = ImmutableList.builder();
-        inOrder(nowNanos).forEach(request -> decide(request, nowNanos).ifPresent(decision -> {
-            waiting.remove(request.key());
-            decisions.add(decision);
-        }));
+        if (!waiting.isEmpty() && open(nowNanos).findAny().isPresent()) {
+            inOrder(nowNanos).forEach(request -> place(request, nowNanos).ifPresent(decisions::add));
+        }
         return decisions.build();
     }
 
@@ -131,42 +151,58 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
-    private static boolean late(SlotRequest request, long nowNanos) {
-        return nowNanos - request.onTimeUntilNanos() >= 0;
+    private boolean late(SlotRequest request, long nowNanos) {
+        return nowNanos + fastestNanos(request, nowNanos) - request.onTimeUntilNanos() > 0;
     }
 
-    private Optional<SlotDecision> decide(SlotRequest request, long nowNanos) {
-        if (nowNanos - request.expiresAtNanos() >= 0) {
-            return Optional.of(
-                    new SlotDecision.Refused(request, SlotDecision.Reason.EXPIRED, SHORTEST_RETRY_AFTER.toNanos()));
-        }
+    private Stream<EndpointLoad> open(long nowNanos) {
+        return endpoints.values().stream().filter(load -> load.usable(nowNanos) && load.freeSlots() > 0);
+    }
+
+    /** The least time to the first token that any endpoint could give now. */
+    private long fastestNanos(SlotRequest request, long nowNanos) {
         return endpoints.values().stream()
-                .filter(load -> load.usable(nowNanos) && load.freeSlots() > 0)
-                .filter(load -> !request.excluded().contains(load.endpoint().id()))
-                .min(Comparator.comparingLong(load -> cost(load, request, nowNanos)))
-                .map(load -> grant(load, request, nowNanos));
+                .filter(load -> load.usable(nowNanos))
+                .mapToLong(load -> load.predictedNanos(request))
+                .min()
+                .orElse(0);
     }
 
-    private long cost(EndpointLoad load, SlotRequest request, long nowNanos) {
-        boolean away = !load.endpoint().failureDomain().region().equals(home);
-        return load.predictedNanos(request)
-                + (away ? REGION_ROUND_TRIP_NANOS : 0)
-                + (long) (load.failureShare(nowNanos) * FAILURE_PENALTY_NANOS);
+    private Optional<SlotDecision> place(SlotRequest request, long nowNanos) {
+        return open(nowNanos)
+                .filter(load -> !request.excluded().contains(load.endpoint().id()))
+                .min(Comparator.comparingLong(load ->
+                        load.predictedNanos(request) + (long) (load.failureShare(nowNanos) * FAILURE_PENALTY_NANOS)))
+                .map(load -> grant(load, request, nowNanos));
     }
 
     private SlotDecision grant(EndpointLoad load, SlotRequest request, long nowNanos) {
         long predicted = load.predictedNanos(request);
+        waiting.remove(request.key());
         load.start(request, nowNanos);
         running.put(request.key(), new Running(request, load));
         rate.dispatched(nowNanos);
         return new SlotDecision.Granted(request, load.endpoint(), predicted);
     }
 
-    private long expectedWaitNanos(SlotRequest request) {
+    /** The wait behind those that can be on time and are at least as urgent. */
+    private long expectedWaitNanos(SlotRequest request, long nowNanos) {
+        if (open(nowNanos).findAny().isPresent()) {
+            return 0;
+        }
         long ahead = waiting.values().stream()
-                .filter(other -> other.rank() <= request.rank())
+                .filter(other -> other.rank() <= request.rank() && !late(other, nowNanos))
                 .count();
-        return ahead == 0 ? 0 : rate.nanosFor(ahead);
+        return rate.nanosFor(ahead + 1);
+    }
+
+    private static ImmutableList<SlotDecision> refusal(
+            SlotRequest request, SlotDecision.Reason reason, long retryAfterNanos) {
+        return ImmutableList.of(new SlotDecision.Refused(request, reason, retryAfterNanos));
+    }
+
+    private static long bounded(long nanos) {
+        return Math.max(SHORTEST_RETRY_AFTER.toNanos(), Math.min(nanos, LONGEST_RETRY_AFTER.toNanos()));
     }
 
     private record Running(SlotRequest request, EndpointLoad load) {}
