Relay tested over sockets; two refusals in a row are reported as not run

Cause: a second endpoint's refusal left the request marked as one that may have run, so its caller got 502 for a request that ran nowhere.

--- a/relay/src/main/java/org/cowslippick/relay/flow/Flow.java
+++ b/relay/src/main/java/org/cowslippick/relay/flow/Flow.java
@@ -302,6 +302,7 @@
         private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
         private Optional<HttpResponse> head = Optional.empty();
         private boolean released;
+        private boolean mayHaveRunBefore;
         private boolean streaming;
 
         Attempt(LiveEndpoint endpoint, SlotKey slot) {
@@ -314,6 +315,7 @@
             if (!mayHaveRun && sentTo.size() == 1) {
                 parts.retries().first(admission.service());
             }
+            mayHaveRunBefore = mayHaveRun;
             mayHaveRun = true;
         }
 
@@ -463,9 +465,7 @@
 
         private void notRun(HttpResponseStatus status) {
             cause = "the endpoint refused with " + status.code();
-            if (sentTo.size() == 1) {
-                mayHaveRun = false;
-            }
+            mayHaveRun = mayHaveRunBefore;
             if (status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
                 sentTo.remove(endpoint.id());
                 release(AnswerOutcome.UNREACHABLE);
--- a/relay/src/main/java/org/cowslippick/relay/flow/Flows.java
+++ b/relay/src/main/java/org/cowslippick/relay/flow/Flows.java
@@ -47,7 +47,10 @@
         return parts.quotas()
                 .take(organisation, admission.quotaCost())
                 .map(delay -> Failure.retryAfter(
-                        ErrorKind.LIMIT_EXCEEDED, "the quota of " + organisation.name() + " is used up", delay));
+                        ErrorKind.LIMIT_EXCEEDED,
+                        "the quota of " + organisation.name() + " is used up: " + admission.quotaCost() + " wanted of "
+                                + organisation.quota().perSecond() + " a second",
+                        delay));
     }
 
     private CallerListener refuse(CallerRequest request, CallerExchange exchange, Failure failure) {
--- a/relay/src/main/java/org/cowslippick/relay/limit/SharedQuotas.java
+++ b/relay/src/main/java/org/cowslippick/relay/limit/SharedQuotas.java
@@ -73,11 +73,12 @@
     private Bucket bucket(OrganisationAccess organisation, long now) {
         Quota quota = organisation.quota();
         Bucket bucket = buckets.computeIfAbsent(
-                organisation.name(), _name -> Bucket.empty(quota, share, tolerance.depth(quota), startedAtNanos));
+                organisation.name(),
+                _name -> Bucket.empty(quota, share * tolerance.perSecond(quota), share, startedAtNanos));
         if (bucket.quota().equals(quota) && bucket.share() == share) {
             return bucket;
         }
-        bucket.tokens().resize(share * quota.perSecond(), tolerance.depth(quota), now);
+        bucket.tokens().resize(share * tolerance.perSecond(quota), quota.burst(), now);
         Bucket resized = new Bucket(quota, share, bucket.tokens());
         buckets.put(organisation.name(), resized);
         return resized;
@@ -85,9 +86,9 @@
 
     private record Bucket(Quota quota, double share, TokenBucket tokens) {
 
-        static Bucket empty(Quota quota, double share, double depth, long nowNanos) {
-            TokenBucket tokens = new TokenBucket(share * quota.perSecond(), depth, nowNanos);
-            tokens.add(-depth);
+        static Bucket empty(Quota quota, double perSecond, double share, long nowNanos) {
+            TokenBucket tokens = new TokenBucket(perSecond, quota.burst(), nowNanos);
+            tokens.add(-quota.burst());
             return new Bucket(quota, share, tokens);
         }
     }
--- /dev/null
+++ b/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
@@ -0,0 +1,220 @@
+package org.cowslippick.relay;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.net.HostAndPort;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.cowslippick.core.routing.CallerLimits;
+import org.cowslippick.core.routing.LiveEndpoint;
+import org.cowslippick.core.routing.OrganisationAccess;
+import org.cowslippick.core.routing.Quota;
+import org.cowslippick.core.routing.Route;
+import org.cowslippick.core.routing.RouteKind;
+import org.cowslippick.core.routing.RoutingTable;
+import org.cowslippick.core.routing.ServiceShare;
+import org.cowslippick.core.time.TimerService;
+import org.cowslippick.core.world.FailureDomain;
+import org.cowslippick.core.world.InstanceName;
+import org.cowslippick.core.world.OrganisationName;
+import org.cowslippick.core.world.Region;
+import org.cowslippick.core.world.ServiceName;
+import org.cowslippick.relay.caller.CallerConnections;
+import org.cowslippick.relay.caller.CallerServer;
+import org.cowslippick.relay.endpoint.EndpointConnections;
+import org.cowslippick.relay.flow.FlowParts;
+import org.cowslippick.relay.flow.Flows;
+import org.cowslippick.relay.limit.QuotaTolerance;
+import org.cowslippick.relay.limit.SharedQuotas;
+import org.cowslippick.relay.limit.SharedRetryBudget;
+import org.cowslippick.relay.message.HeaderNames;
+import org.cowslippick.relay.message.RequestReader;
+import org.cowslippick.relay.slot.OwnedSlots;
+import org.cowslippick.relay.slot.SlotBroker;
+import org.cowslippick.relay.slot.SlotListener;
+import org.cowslippick.relay.time.LoopTimerService;
+import org.cowslippick.scheduler.slot.AnswerOutcome;
+import org.cowslippick.scheduler.slot.SlotKey;
+import org.cowslippick.scheduler.slot.SlotPool;
+import org.cowslippick.scheduler.slot.SlotRequest;
+
+/** A relay on loopback with one service, in front of scripted engines, with routes of each kind. */
+final class RelayHarness implements AutoCloseable {
+
+    static final HeaderNames NAMES = new HeaderNames(
+            "X-Attempt",
+            "X-Remaining",
+            "X-Key",
+            "X-Organisation",
+            "X-Expect",
+            "X-Seal",
+            "X-Not-Run",
+            "X-Tokens",
+            "X-Hint",
+            "X-Parts",
+            "X-Last-Event",
+            "X-Load",
+            ImmutableSet.of("X-Organisation", "X-Expect", "X-Hold"));
+
+    private static final ServiceName SERVICE = new ServiceName("model");
+    private static final Region REGION = new Region("asturias");
+    private static final FailureDomain DOMAIN = new FailureDomain("oviedo", REGION);
+    private static final OrganisationName ORGANISATION = new OrganisationName("portalia");
+    private static final int READ_TIMEOUT_MILLISECONDS = 4_000;
+
+    private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
+    private final CallerServer server;
+    private final CallerConnections callers;
+    private final HostAndPort address;
+
+    RelayHarness(ScriptedEngine... engines) throws IOException, InterruptedException {
+        TimerService timer = new LoopTimerService(loops.next());
+        OwnedSlots owned = new OwnedSlots(timer);
+        Flows flows = new Flows(new FlowParts(
+                timer,
+                NAMES,
+                RelayHarness::table,
+                new OnePool(owned),
+                new EndpointConnections(loops, timer, NAMES.attemptId()),
+                new SharedQuotas(timer, new QuotaTolerance(Duration.ofSeconds(8), 0.1, 0)),
+                new SharedRetryBudget(0.2, 50)));
+        this.callers = new CallerConnections(() -> table().limits(), timer, new RequestReader(NAMES), flows);
+        this.address = HostAndPort.fromParts("127.0.0.1", freePort());
+        this.server = CallerServer.listen(address, loops, callers);
+        ImmutableList.Builder<LiveEndpoint> endpoints = ImmutableList.builder();
+        for (int index = 0; index < engines.length; index++) {
+            endpoints.add(new LiveEndpoint("engine-" + index, SERVICE, engines[index].address(), DOMAIN, 4, false, 1));
+        }
+        loops.next().submit(() -> owned.replaceEndpoints(endpoints.build())).sync();
+    }
+
+    /** Sends a request on a connection of its own and returns all that comes until the relay closes or falls silent. */
+    String call(String method, String path, String headers, String body) throws IOException {
+        try (Socket socket = open()) {
+            send(socket, method, path, headers, body);
+            return readAll(socket);
+        }
+    }
+
+    Socket open() throws IOException {
+        Socket socket = new Socket(address.getHost(), address.getPort());
+        socket.setSoTimeout(READ_TIMEOUT_MILLISECONDS);
+        return socket;
+    }
+
+    static void send(Socket socket, String method, String path, String headers, String body) throws IOException {
+        String request = method + " " + path + " HTTP/1.1\r\nHost: example.org\r\nX-Attempt: a1\r\nX-Key: key\r\n"
+                + "Connection: close\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body;
+        socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    static String readAll(Socket socket) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        byte[] buffer = new byte[4096];
+        try {
+            for (int read = socket.getInputStream().read(buffer);
+                    read >= 0;
+                    read = socket.getInputStream().read(buffer)) {
+                bytes.write(buffer, 0, read);
+            }
+        } catch (SocketTimeoutException _silent) {
+            bytes.writeBytes("<silent>".getBytes(StandardCharsets.ISO_8859_1));
+        } catch (IOException _reset) {
+            bytes.writeBytes("<reset>".getBytes(StandardCharsets.ISO_8859_1));
+        }
+        return bytes.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    void drain() throws InterruptedException {
+        loops.next().submit(callers::drain).sync();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static RoutingTable table() {
+        return new RoutingTable(
+                7,
+                ImmutableList.of(
+                        route("book", RouteKind.AT_MOST_ONCE, 2, false),
+                        route("look", RouteKind.IDEMPOTENT, 2, false),
+                        route("chat", RouteKind.EVENT_STREAM, 2, true),
+                        route("report", RouteKind.EVENT_STREAM, 1, false)),
+                ImmutableList.of(),
+                CallerLimits.DEFAULT,
+                ImmutableMap.of("key", ORGANISATION),
+                ImmutableMap.of(ORGANISATION, new OrganisationAccess(ORGANISATION, Optional.empty(), Quota.UNLIMITED)));
+    }
+
+    private static Route route(String name, RouteKind kind, int endpoints, boolean resumable) {
+        return new Route(
+                name,
+                "example.org",
+                "/" + name + "/",
+                kind,
+                ImmutableList.of(new ServiceShare(SERVICE, 1)),
+                Duration.ofMillis(1_500),
+                Duration.ofMillis(400),
+                Duration.ofMillis(300),
+                1,
+                endpoints,
+                false,
+                resumable);
+    }
+
+    /** Asks the queues of this instance only. */
+    private static final class OnePool implements SlotBroker {
+        private static final SlotPool POOL = new SlotPool(SERVICE, REGION);
+
+        private final OwnedSlots owned;
+        private long lastNumber;
+
+        OnePool(OwnedSlots owned) {
+            this.owned = owned;
+        }
+
+        @Override
+        public SlotKey nextKey() {
+            lastNumber++;
+            return new SlotKey(new InstanceName("front-1"), lastNumber);
+        }
+
+        @Override
+        public void ask(ServiceName _service, SlotRequest request, SlotListener listener) {
+            owned.ask(POOL, request, listener);
+        }
+
+        @Override
+        public void withdraw(SlotKey key) {
+            owned.withdraw(POOL, key);
+        }
+
+        @Override
+        public void answered(SlotKey key) {
+            owned.answered(POOL, key);
+        }
+
+        @Override
+        public void ended(SlotKey key, AnswerOutcome outcome) {
+            owned.ended(POOL, key, outcome);
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/org/cowslippick/relay/ScriptedEngine.java
@@ -0,0 +1,144 @@
+package org.cowslippick.relay;
+
+import com.google.common.net.HostAndPort;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** An engine that answers each request with the next of the given byte sequences, and remembers what it was sent. */
+final class ScriptedEngine implements AutoCloseable {
+
+    /** At the end of an answer: close the connection. Without it the connection stays open. */
+    static final String CLOSE = "<close>";
+
+    /** At the end of an answer: reset the connection. */
+    static final String RESET = "<reset>";
+
+    private final ServerSocket listening;
+    private final LinkedBlockingQueue<String> answers = new LinkedBlockingQueue<>();
+    private final LinkedBlockingQueue<String> continuations = new LinkedBlockingQueue<>();
+    private final List<String> requests = new CopyOnWriteArrayList<>();
+    private final AtomicInteger closedByRelay = new AtomicInteger();
+
+    ScriptedEngine(String... script) throws IOException {
+        this.listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        answers.addAll(List.of(script));
+        Thread thread = new Thread(this::accept, "engine");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Adds an answer to requests that ask for the rest of a stream. */
+    ScriptedEngine continuing(String script) {
+        continuations.add(script);
+        return this;
+    }
+
+    HostAndPort address() {
+        return HostAndPort.fromParts("127.0.0.1", listening.getLocalPort());
+    }
+
+    /** Heads of the requests, in order of arrival. */
+    List<String> requests() {
+        return requests;
+    }
+
+    int closedByRelay() {
+        return closedByRelay.get();
+    }
+
+    @Override
+    public void close() throws IOException {
+        listening.close();
+    }
+
+    private void accept() {
+        try {
+            while (!listening.isClosed()) {
+                Socket socket = listening.accept();
+                Thread thread = new Thread(() -> serve(socket), "engine-connection");
+                thread.setDaemon(true);
+                thread.start();
+            }
+        } catch (IOException _closed) {
+            // The test has ended.
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            BufferedReader reader =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
+            for (String head = readHead(reader); !head.isEmpty(); head = readHead(reader)) {
+                requests.add(head);
+                if (!answer(socket, head)) {
+                    return;
+                }
+            }
+            closedByRelay.incrementAndGet();
+        } catch (IOException _reset) {
+            closedByRelay.incrementAndGet();
+        }
+    }
+
+    private boolean answer(Socket socket, String head) throws IOException {
+        String script = header(head, "X-Last-Event").isEmpty() ? answers.poll() : continuations.poll();
+        if (script == null) {
+            return true;
+        }
+        boolean close = script.endsWith(CLOSE);
+        boolean reset = script.endsWith(RESET);
+        String text = script.replace(CLOSE, "").replace(RESET, "").replace("{id}", header(head, "X-Attempt"));
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+        if (reset) {
+            pause();
+            socket.setSoLinger(true, 0);
+        }
+        return !close && !reset;
+    }
+
+    /** Lets the relay read what was sent before the reset destroys it. */
+    private static void pause() {
+        try {
+            Thread.sleep(50);
+        } catch (InterruptedException interrupted) {
+            throw new UncheckedIOException(new IOException(interrupted));
+        }
+    }
+
+    private static String readHead(BufferedReader reader) throws IOException {
+        StringBuilder head = new StringBuilder();
+        int length = 0;
+        for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+            if (line.isEmpty()) {
+                for (int index = 0; index < length; index++) {
+                    head.append((char) reader.read());
+                }
+                return head.toString();
+            }
+            if (line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")) {
+                length = Integer.parseInt(line.substring(line.indexOf(':') + 1).strip());
+            }
+            head.append(line).append('\n');
+        }
+        return "";
+    }
+
+    private static String header(String head, String name) {
+        return head.lines()
+                .filter(line -> line.startsWith(name + ":"))
+                .map(line -> line.substring(name.length() + 1).strip())
+                .findFirst()
+                .orElse("");
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/org/cowslippick/relay/state/EndpointBookTest.java
@@ -0,0 +1,59 @@
+package org.cowslippick.relay.state;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.net.HostAndPort;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicReference;
+import org.cowslippick.core.routing.LiveEndpoint;
+import org.cowslippick.core.time.ManualTimerService;
+import org.cowslippick.core.world.FailureDomain;
+import org.cowslippick.core.world.Region;
+import org.cowslippick.core.world.ServiceName;
+import org.junit.jupiter.api.Test;
+
+class EndpointBookTest {
+
+    private static final LiveEndpoint ENGINE = endpoint(false);
+
+    private final ManualTimerService timer = new ManualTimerService();
+    private final AtomicReference<ImmutableList<LiveEndpoint>> used = new AtomicReference<>(ImmutableList.of());
+    private final EndpointBook book = new EndpointBook(timer, used::set);
+
+    @Test
+    void dropsAnEndpointThatIsGoneAtOnce() {
+        book.replace(ImmutableList.of(ENGINE));
+        book.replace(ImmutableList.of());
+        assertEquals(ImmutableList.of(), used.get());
+    }
+
+    @Test
+    void keepsAnEndpointThatLapsedWhileTheStoreWasAwayForTheTimeOfItsReturn() {
+        book.replace(ImmutableList.of(ENGINE));
+        book.storeReturned();
+        book.replace(ImmutableList.of());
+        assertEquals(ImmutableList.of(ENGINE), used.get());
+        timer.advance(Duration.ofMillis(2_300));
+        assertEquals(ImmutableList.of(), used.get());
+    }
+
+    @Test
+    void doesNotKeepALeavingEndpoint() {
+        book.replace(ImmutableList.of(endpoint(true)));
+        book.storeReturned();
+        book.replace(ImmutableList.of());
+        assertEquals(ImmutableList.of(), used.get());
+    }
+
+    private static LiveEndpoint endpoint(boolean leaving) {
+        return new LiveEndpoint(
+                "engine-1",
+                new ServiceName("model"),
+                HostAndPort.fromParts("10.0.0.1", 80),
+                new FailureDomain("oviedo", new Region("asturias")),
+                4,
+                leaving,
+                1);
+    }
+}
