A peer that was heard from is dialled at once, and a restarted one on a new connection

Change: a message from a peer ends the wait; the longest wait is one second; a new incarnation replaces the connection.

--- a/fleet/src/main/java/org/cowslippick/fleet/peer/OutboundConnection.java
+++ b/fleet/src/main/java/org/cowslippick/fleet/peer/OutboundConnection.java
@@ -22,8 +22,8 @@
     static final long MAXIMUM_UNSENT_BYTES = 4L << 20;
 
     private static final Duration FIRST_DELAY = Duration.ofMillis(100);
-    private static final Duration LONGEST_DELAY = Duration.ofSeconds(5);
-    private static final int MAXIMUM_DOUBLINGS = 6;
+    private static final Duration LONGEST_DELAY = Duration.ofSeconds(1);
+    private static final int MAXIMUM_DOUBLINGS = 4;
 
     private final ArrayDeque<byte[]> waiting = new ArrayDeque<>();
     private final Runnable dial;
@@ -75,6 +75,14 @@
         return current;
     }
 
+    /** The peer itself sent something, so that an attempt to connect is worth it at once. */
+    synchronized void reachable(long nowNanos) {
+        if (notBeforeNanos - nowNanos > 0) {
+            notBeforeNanos = nowNanos;
+            failures = 0;
+        }
+    }
+
     void received(long nowNanos) {
         lastReceivedNanos = nowNanos;
     }
@@ -109,6 +117,13 @@
         open = Optional.empty();
     }
 
+    /** Closes the channel; the next message opens another. */
+    void replace() {
+        Optional<Channel> old = open;
+        abandon();
+        old.ifPresent(Channels::close);
+    }
+
     void close() {
         open.ifPresent(Channels::close);
     }
--- a/fleet/src/main/java/org/cowslippick/fleet/peer/TcpPeerNetwork.java
+++ b/fleet/src/main/java/org/cowslippick/fleet/peer/TcpPeerNetwork.java
@@ -19,6 +19,7 @@
 import org.cowslippick.core.time.TimerService;
 import org.cowslippick.core.time.TimerService.Subscription;
 import org.cowslippick.core.timeline.Timeline;
+import org.cowslippick.core.world.Incarnation;
 import org.cowslippick.core.world.InstanceName;
 import org.cowslippick.fleet.wire.ClusterKeys;
 import org.cowslippick.fleet.wire.ConnectionMessages;
@@ -54,6 +55,7 @@
     private final Acceptor acceptor;
     private final Subscribers subscribers = new Subscribers();
     private final List<PeerListener> listeners = new CopyOnWriteArrayList<>();
+    private final Map<InstanceName, Incarnation> incarnations = new ConcurrentHashMap<>();
     private final Map<InstanceName, OutboundConnection> connections = new ConcurrentHashMap<>();
     private final Subscription heartbeats;
 
@@ -102,7 +104,7 @@
         this.codec = new FrameCodec(types);
         HelloSettings settings = new HelloSettings(() -> sender(self.get()), keys, codec);
         this.dialler = new Dialler(group, timer, settings);
-        this.acceptor = new Acceptor(group, settings, timeline, subscribers::deliver);
+        this.acceptor = new Acceptor(group, settings, timeline, this::deliver);
         this.heartbeats = timer.every(HEARTBEAT_PERIOD, this::checkConnections);
     }
 
@@ -154,6 +156,17 @@
         }
     }
 
+    /** A peer that sends can be reached again; one that restarted no longer knows the channel of its life before. */
+    private void deliver(PeerIdentity sender, PeerMessage message) {
+        OutboundConnection outbound = connection(sender.name());
+        Incarnation before = incarnations.put(sender.name(), sender.incarnation());
+        if (before != null && !before.equals(sender.incarnation())) {
+            outbound.replace();
+        }
+        outbound.reachable(timer.nanoTime());
+        subscribers.deliver(sender, message);
+    }
+
     private OutboundConnection connection(InstanceName peer) {
         return connections.computeIfAbsent(peer, name -> new OutboundConnection(timer.nanoTime(), () -> open(name)));
     }
--- a/fleet/src/test/java/org/cowslippick/fleet/peer/TcpPeerNetworkTest.java
+++ b/fleet/src/test/java/org/cowslippick/fleet/peer/TcpPeerNetworkTest.java
@@ -135,6 +135,19 @@
         assertEquals(nowhere, lost.take());
     }
 
+    @Test
+    void connectsAtOnceToAPeerThatWasHeardFrom() throws InterruptedException {
+        BlockingQueue<InstanceName> lost = new LinkedBlockingQueue<>();
+        b.listen(listener(lost, new LinkedBlockingQueue<>()));
+        b.send(A, new Note("lost"));
+        assertEquals(A, lost.take());
+        assertEquals(SendResult.UNREACHABLE, b.send(A, new Note("lost as well")));
+        addresses.put(A, a.listen(HostAndPort.fromParts("127.0.0.1", 0)));
+        a.send(B, new Note("here"));
+        assertEquals("a:here", received.take());
+        assertEquals(SendResult.QUEUED, b.send(A, new Note("found")));
+    }
+
     @Test
     void replacesASilentConnection() throws IOException, InterruptedException {
         try (SilencingProxy proxy = new SilencingProxy(addressOfB.getPort())) {
