--- a/relay/src/main/java/org/cowslippick/relay/caller/CallerServer.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/CallerServer.java
@@ -4,6 +4,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
@@ -22,15 +23,15 @@
     private static final int MAXIMUM_PART_BYTES = 16_384;
     private static final int WAITING_CONNECTIONS = 1024;
 
-    private final Channel listening;
+    private final ChannelFuture binding;
 
-    private CallerServer(Channel listening) {
-        this.listening = listening;
+    private CallerServer(ChannelFuture binding) {
+        this.binding = binding;
     }
 
-    /** Binds the address. */
+    /** Starts to bind the address. */
     public static CallerServer listen(HostAndPort address, EventLoopGroup loops, CallerConnections connections) {
-        Channel channel = new ServerBootstrap()
+        ChannelFuture binding = new ServerBootstrap()
                 .group(loops)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -41,15 +42,18 @@
                         initialize(accepted, connections);
                     }
                 })
-                .bind(address.getHost(), address.getPort())
-                .syncUninterruptibly()
-                .channel();
-        return new CallerServer(channel);
+                .bind(address.getHost(), address.getPort());
+        return new CallerServer(binding);
+    }
+
+    /** Ends when the address is bound, or could not be. */
+    public ChannelFuture bound() {
+        return binding;
     }
 
     /** Accepts no more connections. */
     public void close() {
-        listening.close();
+        binding.channel().close();
     }
 
     private static void initialize(Channel accepted, CallerConnections connections) {
--- a/relay/src/main/java/org/cowslippick/relay/flow/Admission.java
+++ b/relay/src/main/java/org/cowslippick/relay/flow/Admission.java
@@ -28,7 +28,7 @@
         long quotaCost,
         Duration waitedBefore) {
 
-    private static final Duration CONFIGURATION_EXPECTED_WITHIN = Duration.ofMillis(300);
+    private static final Duration CONFIGURATION_EXPECTED_WITHIN = Duration.ofSeconds(1);
 
     /** Checks route and credential; the quota is not touched. */
     static Either<Failure, Admission> of(CallerRequest request, RoutingTable table, CallerPatience patience) {
--- a/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
@@ -90,6 +90,7 @@
         this.callers = new CallerConnections(() -> table().limits(), timer, new RequestReader(NAMES), flows);
         this.address = HostAndPort.fromParts("127.0.0.1", freePort());
         this.server = CallerServer.listen(address, loops, callers);
+        server.bound().sync();
         ImmutableList.Builder<LiveEndpoint> endpoints = ImmutableList.builder();
         for (int index = 0; index < engines.length; index++) {
             endpoints.add(new LiveEndpoint("engine-" + index, SERVICE, engines[index].address(), DOMAIN, 4, false, 1));
