--- a/relay/src/main/java/org/cowslippick/relay/caller/CallerConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/CallerConnection.java
@@ -20,13 +20,16 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.cowslippick.core.error.ErrorKind;
 import org.cowslippick.core.error.Failure;
+import org.cowslippick.relay.log.LogLine;
 import org.cowslippick.relay.message.CallerRequest;
+import org.jboss.logging.Logger;
 
 /**
  * One connection of a caller. Reads one request at a time, whole, and hands it on; what the caller sends ahead waits
@@ -36,6 +39,7 @@
 @SuppressWarnings("FutureReturnValueIgnored")
 final class CallerConnection extends ChannelInboundHandlerAdapter {
 
+    private static final Logger LOGGER = Logger.getLogger("cowslippick.caller");
     private static final int MAXIMUM_PARTS_READ_AHEAD = 64;
 
     /** How long a closing connection still reads, so that unread bytes do not destroy the last answer. */
@@ -95,7 +99,10 @@
     }
 
     @Override
-    public void exceptionCaught(ChannelHandlerContext _context, Throwable _cause) {
+    public void exceptionCaught(ChannelHandlerContext _context, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            LOGGER.error(LogLine.of("caller-connection-failed"), cause);
+        }
         context.close();
     }
 
--- a/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
@@ -11,8 +11,11 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.util.Optional;
 import java.util.function.Consumer;
+import org.cowslippick.relay.log.LogLine;
+import org.jboss.logging.Logger;
 
 /**
  * A connection to an endpoint, which serves one request at a time on it. Bytes that come when no answer is due close
@@ -21,6 +24,8 @@
 @SuppressWarnings("FutureReturnValueIgnored")
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
 
+    private static final Logger LOGGER = Logger.getLogger("cowslippick.endpoint");
+
     private final String attemptIdName;
     private final AnswerDecoder decoder;
     private final Consumer<EndpointConnection> idle;
@@ -98,6 +103,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext _context, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            LOGGER.error(LogLine.of("endpoint-connection-failed"), cause);
+        }
         failed = true;
         failure = String.valueOf(cause.getMessage());
         context.close();
--- a/relay/src/main/java/org/cowslippick/relay/message/HeaderNames.java
+++ b/relay/src/main/java/org/cowslippick/relay/message/HeaderNames.java
@@ -14,9 +14,7 @@
  * @param notRun marks an answer to a request that the endpoint did not run
  * @param tokenCounts prompt tokens and the most answer tokens
  * @param lengthHint the caller's estimate of the answer tokens
- * @param promptParts the parts of a prompt, shared ones first
  * @param lastEvent the event after which a stream is to continue
- * @param endpointLoad running and waiting requests and slots of the endpoint
  * @param ownToSet headers that only the relay may set, so that a caller's copy is dropped
  */
 public record HeaderNames(
@@ -29,7 +27,5 @@
         String notRun,
         String tokenCounts,
         String lengthHint,
-        String promptParts,
         String lastEvent,
-        String endpointLoad,
         ImmutableSet<String> ownToSet) {}
--- a/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
@@ -60,9 +60,7 @@
             "X-Not-Run",
             "X-Tokens",
             "X-Hint",
-            "X-Parts",
             "X-Last-Event",
-            "X-Load",
             ImmutableSet.of("X-Organisation", "X-Expect", "X-Hold"));
 
     private static final ServiceName SERVICE = new ServiceName("model");
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/AnswerOutcome.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/AnswerOutcome.java
@@ -11,9 +11,7 @@
     /** No connection could be opened, so that nothing was sent. */
     UNREACHABLE(1),
     /** The connection broke, or the answer was no answer. */
-    BROKEN(1),
-    /** Nothing came for so long that the endpoint has probably lost the request. */
-    SILENT(1);
+    BROKEN(1);
 
     private final double failure;
 
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointLoad.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointLoad.java
@@ -34,7 +34,6 @@
     private double nanosPerAnswerToken = FIRST_NANOS_PER_ANSWER_TOKEN;
     private double applicationNanos = FIRST_APPLICATION_NANOS;
     private double unreadTokens;
-    private int elsewhere;
     private double failureShare;
     private long failedAtNanos;
     private long ejectedUntilNanos;
@@ -54,13 +53,8 @@
         endpoint = newer;
     }
 
-    /** Requests of other instances that the endpoint holds, as last heard. */
-    void heldElsewhere(int count) {
-        elsewhere = count;
-    }
-
     int freeSlots() {
-        return endpoint.leaving() ? 0 : endpoint.slots() - held.size() - elsewhere;
+        return endpoint.leaving() ? 0 : endpoint.slots() - held.size();
     }
 
     boolean usable(long nowNanos) {
@@ -70,7 +64,7 @@
     /** The expected time until the first token of one more request. */
     long predictedNanos(SlotRequest request) {
         if (request.promptTokens() == 0) {
-            return (long) (applicationNanos * (1.0 + (double) (held.size() + elsewhere) / endpoint.slots()));
+            return (long) (applicationNanos * (1.0 + (double) held.size() / endpoint.slots()));
         }
         return (long) ((unreadTokens + work(request)) * nanosPerToken);
     }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.ImmutableCollection;
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.Comparator;
@@ -107,12 +106,6 @@
         return step(nowNanos);
     }
 
-    /** Takes over how many requests each endpoint holds that this queue does not know. */
-    public ImmutableList<SlotDecision> heldElsewhere(ImmutableMap<String, Integer> counts, long nowNanos) {
-        endpoints.forEach((id, load) -> load.heldElsewhere(counts.getOrDefault(id, 0)));
-        return step(nowNanos);
-    }
-
     /** Decides what has become due by the passing of time. */
     public ImmutableList<SlotDecision> advance(long nowNanos) {
         if (waiting.isEmpty()) {
