Instances that cannot read the store learn configuration, endpoints and addresses from others

Cause: an instance that started while the store was away had no configuration and knew nobody, so that it refused everything until the store came back. Reports already carried the version in force, but nobody acted on it. Ruled out: a push of the whole configuration on each new connection; 63 instances would send it to each that restarts. Change: each connection starts with an introduction. Reports carry the revision at which endpoints were read. An instance that stays behind asks one that is ahead; its own reading of the store goes before what others say. Conclusion: BriefingsTest fails without the exchange (nothing ever applied).

--- /dev/null
+++ b/relay/src/main/java/org/cowslippick/relay/peer/BriefingMessages.java
@@ -0,0 +1,156 @@
+package org.cowslippick.relay.peer;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.zip.GZIPInputStream;
+import java.util.zip.GZIPOutputStream;
+import org.cowslippick.core.routing.LiveEndpoint;
+import org.cowslippick.core.world.FailureDomain;
+import org.cowslippick.core.world.Instance;
+import org.cowslippick.core.world.InstanceName;
+import org.cowslippick.core.world.Region;
+import org.cowslippick.core.world.ServiceName;
+import org.cowslippick.fleet.wire.MalformedFrameException;
+import org.cowslippick.fleet.wire.MessageReader;
+import org.cowslippick.fleet.wire.MessageType;
+import org.cowslippick.fleet.wire.MessageWriter;
+import org.cowslippick.fleet.wire.PeerMessage;
+import org.cowslippick.fleet.wire.Priority;
+import org.cowslippick.relay.state.ConfigurationDocument;
+
+/** Messages by which an instance that cannot read the store learns what others have read there. */
+final class BriefingMessages {
+
+    /** The largest value of the store, with room for one that is stored compressed. */
+    private static final int MAXIMUM_DOCUMENT_BYTES = 4 << 20;
+
+    private BriefingMessages() {}
+
+    /** All types of this class, for the registry of message types. */
+    static ImmutableSet<MessageType<?>> types() {
+        return ImmutableSet.of(
+                new MessageType<>(
+                        81, Introduction.class, Priority.ESSENTIAL, Introduction::encode, Introduction::decode),
+                new MessageType<>(82, Wanted.class, Priority.DROPPABLE, Wanted::encode, Wanted::decode),
+                new MessageType<>(83, Briefing.class, Priority.DROPPABLE, Briefing::encode, Briefing::decode));
+    }
+
+    /** Where the sender can be reached; sent first on each connection. */
+    record Introduction(Instance instance) implements PeerMessage {
+
+        private static void encode(Introduction message, MessageWriter writer) {
+            writer.text(message.instance.name().value());
+            encodeDomain(message.instance.failureDomain(), writer);
+            writer.address(message.instance.callerAddress());
+            writer.address(message.instance.peerAddress());
+        }
+
+        private static Introduction decode(MessageReader reader) {
+            return new Introduction(new Instance(
+                    new InstanceName(reader.text()), decodeDomain(reader), reader.address(), reader.address()));
+        }
+    }
+
+    /** The sender knows the configuration and the endpoints of these versions, and asks for higher ones. */
+    record Wanted(long configuration, long endpoints) implements PeerMessage {
+
+        private static void encode(Wanted message, MessageWriter writer) {
+            writer.number(message.configuration);
+            writer.number(message.endpoints);
+        }
+
+        private static Wanted decode(MessageReader reader) {
+            return new Wanted(reader.number(), reader.number());
+        }
+    }
+
+    /**
+     * What the sender read in the store.
+     *
+     * @param configuration empty if the receiver's is as high
+     * @param endpointsRevision the store's revision at which the endpoints were read
+     */
+    record Briefing(
+            Optional<ConfigurationDocument> configuration,
+            long endpointsRevision,
+            ImmutableList<LiveEndpoint> endpoints)
+            implements PeerMessage {
+
+        private static void encode(Briefing message, MessageWriter writer) {
+            writer.flag(message.configuration.isPresent());
+            message.configuration.ifPresent(document -> {
+                writer.number(document.version());
+                writer.bytes(compress(document.text()));
+            });
+            writer.number(message.endpointsRevision);
+            writer.list(message.endpoints, BriefingMessages::encodeEndpoint);
+        }
+
+        private static Briefing decode(MessageReader reader) {
+            return new Briefing(
+                    reader.flag()
+                            ? Optional.of(new ConfigurationDocument(reader.number(), decompress(reader.bytes())))
+                            : Optional.empty(),
+                    reader.number(),
+                    reader.list(BriefingMessages::decodeEndpoint));
+        }
+    }
+
+    private static void encodeEndpoint(LiveEndpoint endpoint, MessageWriter writer) {
+        writer.text(endpoint.id());
+        writer.text(endpoint.service().value());
+        writer.address(endpoint.address());
+        encodeDomain(endpoint.failureDomain(), writer);
+        writer.number(endpoint.slots());
+        writer.flag(endpoint.leaving());
+        writer.number(endpoint.version());
+    }
+
+    private static LiveEndpoint decodeEndpoint(MessageReader reader) {
+        return new LiveEndpoint(
+                reader.text(),
+                new ServiceName(reader.text()),
+                reader.address(),
+                decodeDomain(reader),
+                reader.integer(),
+                reader.flag(),
+                reader.number());
+    }
+
+    private static void encodeDomain(FailureDomain domain, MessageWriter writer) {
+        writer.text(domain.name());
+        writer.text(domain.region().name());
+    }
+
+    private static FailureDomain decodeDomain(MessageReader reader) {
+        return new FailureDomain(reader.text(), new Region(reader.text()));
+    }
+
+    private static byte[] compress(String text) {
+        ByteArrayOutputStream compressed = new ByteArrayOutputStream();
+        try (GZIPOutputStream stream = new GZIPOutputStream(compressed)) {
+            stream.write(text.getBytes(StandardCharsets.UTF_8));
+        } catch (IOException impossible) {
+            throw new UncheckedIOException(impossible);
+        }
+        return compressed.toByteArray();
+    }
+
+    private static String decompress(byte[] compressed) {
+        try (GZIPInputStream stream = new GZIPInputStream(new ByteArrayInputStream(compressed))) {
+            byte[] text = stream.readNBytes(MAXIMUM_DOCUMENT_BYTES + 1);
+            if (text.length > MAXIMUM_DOCUMENT_BYTES) {
+                throw new MalformedFrameException("the configuration is over " + MAXIMUM_DOCUMENT_BYTES + " bytes");
+            }
+            return new String(text, StandardCharsets.UTF_8);
+        } catch (IOException malformed) {
+            throw new MalformedFrameException("the configuration cannot be decompressed", malformed);
+        }
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/cowslippick/relay/peer/Briefings.java
@@ -0,0 +1,131 @@
+package org.cowslippick.relay.peer;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Consumer;
+import org.cowslippick.core.time.TimerService;
+import org.cowslippick.core.world.InstanceName;
+import org.cowslippick.fleet.peer.PeerIdentity;
+import org.cowslippick.fleet.peer.PeerListener;
+import org.cowslippick.fleet.peer.PeerNetwork;
+import org.cowslippick.relay.log.LogLine;
+import org.cowslippick.relay.peer.BriefingMessages.Briefing;
+import org.cowslippick.relay.peer.BriefingMessages.Introduction;
+import org.cowslippick.relay.peer.BriefingMessages.Wanted;
+import org.cowslippick.relay.state.ConfigurationDocument;
+import org.cowslippick.relay.state.EndpointBook;
+import org.cowslippick.relay.state.InstanceBook;
+import org.cowslippick.relay.state.RoutingState;
+import org.jboss.logging.Logger;
+
+/**
+ * Brings an instance that cannot read the store up to date from others. Reports say which versions their senders have;
+ * an instance that stays behind asks one of those that are ahead.
+ */
+public final class Briefings {
+
+    private static final Logger LOGGER = Logger.getLogger("cowslippick.briefing");
+
+    /** An instance that reads the store itself has a new version sooner than this after the first report of it. */
+    private static final Duration BEHIND_BEFORE_ASKING = Duration.ofMillis(300);
+
+    /** Longer than a round trip between regions and the transfer of a large configuration. */
+    private static final Duration ASKING_PERIOD = Duration.ofMillis(500);
+
+    private final TimerService timer;
+    private final InstanceBook instances;
+    private final RoutingState routing;
+    private final EndpointBook endpoints;
+    private final Consumer<ConfigurationDocument> applier;
+    private Optional<PeerNetwork> network = Optional.empty();
+    private Optional<Long> behindSinceNanos = Optional.empty();
+    private long askedAtNanos;
+
+    /** Creates the part; {@code applier} decodes a configuration and puts it in force. */
+    public Briefings(
+            TimerService timer,
+            InstanceBook instances,
+            RoutingState routing,
+            EndpointBook endpoints,
+            Consumer<ConfigurationDocument> applier) {
+        this.timer = timer;
+        this.instances = instances;
+        this.routing = routing;
+        this.endpoints = endpoints;
+        this.applier = applier;
+        this.askedAtNanos = timer.nanoTime() - ASKING_PERIOD.toNanos();
+    }
+
+    void start(PeerNetwork peers) {
+        network = Optional.of(peers);
+        peers.subscribe(Introduction.class, (_sender, message) -> instances.introduced(message.instance()));
+        peers.subscribe(Wanted.class, (sender, message) -> answer(peers, sender, message));
+        peers.subscribe(Briefing.class, this::briefed);
+        peers.listen(new PeerListener() {
+            @Override
+            public void connected(InstanceName peer) {
+                peers.send(peer, new Introduction(instances.self()));
+            }
+
+            @Override
+            public void disconnected(InstanceName _peer) {}
+        });
+    }
+
+    /** The store's revision at which the endpoints were read here. */
+    long endpointsRevision() {
+        return endpoints.revision();
+    }
+
+    /** Looks at what others reported lately, and asks one that is ahead. */
+    void compare(Map<InstanceName, InstanceReport> reports) {
+        ImmutableList<InstanceName> ahead = reports.entrySet().stream()
+                .filter(entry -> ahead(entry.getValue()))
+                .map(Map.Entry::getKey)
+                .collect(ImmutableList.toImmutableList());
+        long now = timer.nanoTime();
+        if (ahead.isEmpty()) {
+            behindSinceNanos = Optional.empty();
+            return;
+        }
+        long since = behindSinceNanos.orElse(now);
+        behindSinceNanos = Optional.of(since);
+        boolean due = !routing.current().known() || now - since >= BEHIND_BEFORE_ASKING.toNanos();
+        if (due && now - askedAtNanos >= ASKING_PERIOD.toNanos()) {
+            askedAtNanos = now;
+            ask(ahead.get(ThreadLocalRandom.current().nextInt(ahead.size())));
+        }
+    }
+
+    private boolean ahead(InstanceReport report) {
+        return report.configuration() > routing.current().version() || endpoints.wants(report.endpointsRevision());
+    }
+
+    private void ask(InstanceName other) {
+        LOGGER.info(LogLine.of("briefing-wanted")
+                .with("from", other.value())
+                .with("configuration", routing.current().version())
+                .with("endpointsRevision", endpoints.revision()));
+        network.ifPresent(
+                peers -> peers.send(other, new Wanted(routing.current().version(), endpoints.revision())));
+    }
+
+    private void answer(PeerNetwork peers, PeerIdentity sender, Wanted wanted) {
+        peers.send(
+                sender.name(),
+                new Briefing(
+                        routing.document().filter(document -> document.version() > wanted.configuration()),
+                        endpoints.revision(),
+                        endpoints.revision() > wanted.endpoints() ? endpoints.registered() : ImmutableList.of()));
+    }
+
+    private void briefed(PeerIdentity _sender, Briefing briefing) {
+        if (!briefing.endpoints().isEmpty()) {
+            endpoints.offer(briefing.endpoints(), briefing.endpointsRevision());
+        }
+        briefing.configuration().ifPresent(applier);
+    }
+}
--- a/relay/src/main/java/org/cowslippick/relay/peer/Fleet.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/Fleet.java
@@ -45,6 +45,7 @@
     private final RoutingState routing;
     private final SharedQuotas quotas;
     private final OwnedSlots owned;
+    private final Briefings briefings;
     private final Map<InstanceName, Heard> heard = new HashMap<>();
     private Optional<PeerNetwork> network = Optional.empty();
     private Function<SlotPool, Boolean> owns = _pool -> true;
@@ -53,12 +54,18 @@
     private volatile ImmutableSet<InstanceName> serving = ImmutableSet.of();
 
     public Fleet(
-            InstanceBook instances, TimerService timer, RoutingState routing, SharedQuotas quotas, OwnedSlots owned) {
+            InstanceBook instances,
+            TimerService timer,
+            RoutingState routing,
+            SharedQuotas quotas,
+            OwnedSlots owned,
+            Briefings briefings) {
         this.instances = instances;
         this.timer = timer;
         this.routing = routing;
         this.quotas = quotas;
         this.owned = owned;
+        this.briefings = briefings;
         instances.judge(this::serves);
     }
 
@@ -68,6 +75,7 @@
         owns = ownership;
         changed = onChange;
         peers.subscribe(InstanceReport.class, this::received);
+        briefings.start(peers);
         tick();
     }
 
@@ -109,10 +117,18 @@
         InstanceReport report = report();
         network.ifPresent(peers -> others.forEach(other -> peers.send(other.name(), report)));
         refresh(others);
+        briefings.compare(reports());
         quotas.share((1.0 + live.size()) / (1.0 + others.size()));
         timer.after(period(others.size()), this::tick);
     }
 
+    private ImmutableMap<InstanceName, InstanceReport> reports() {
+        return heard.entrySet().stream()
+                .filter(entry -> live.contains(entry.getKey()))
+                .collect(ImmutableMap.toImmutableMap(
+                        Map.Entry::getKey, entry -> entry.getValue().report()));
+    }
+
     private static Duration period(int others) {
         return SHORTEST_PERIOD.multipliedBy(Math.max(1, others / INSTANCES_AT_SHORTEST_PERIOD));
     }
@@ -121,6 +137,7 @@
         return new InstanceReport(
                 instances.isSelfServing(),
                 routing.current().version(),
+                briefings.endpointsRevision(),
                 quotas.usedHere().entrySet().stream()
                         .map(entry -> new InstanceReport.Usage(entry.getKey(), entry.getValue()))
                         .collect(ImmutableList.toImmutableList()),
--- a/relay/src/main/java/org/cowslippick/relay/peer/FleetSlots.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/FleetSlots.java
@@ -40,6 +40,7 @@
     /** The message types of this package, for the registry of message types. */
     public static final ImmutableSet<MessageType<?>> MESSAGE_TYPES = ImmutableSet.<MessageType<?>>builder()
             .addAll(SlotMessages.types())
+            .addAll(BriefingMessages.types())
             .add(InstanceReport.TYPE)
             .build();
 
--- a/relay/src/main/java/org/cowslippick/relay/peer/InstanceReport.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/InstanceReport.java
@@ -17,10 +17,16 @@
  *
  * @param serving whether callers may be sent to it
  * @param configuration the version that it has in force
+ * @param endpointsRevision the store's revision at which it read the endpoints; negative if it never did
  * @param usage tokens or requests used since its process started, by organisation
  * @param pools how busy the pools are that it owns
  */
-record InstanceReport(boolean serving, long configuration, ImmutableList<Usage> usage, ImmutableList<OwnedPool> pools)
+record InstanceReport(
+        boolean serving,
+        long configuration,
+        long endpointsRevision,
+        ImmutableList<Usage> usage,
+        ImmutableList<OwnedPool> pools)
         implements PeerMessage {
 
     static final MessageType<InstanceReport> TYPE = new MessageType<>(
@@ -59,12 +65,17 @@
     private static void encode(InstanceReport report, MessageWriter writer) {
         writer.flag(report.serving);
         writer.number(report.configuration);
+        writer.number(report.endpointsRevision);
         writer.list(report.usage, Usage::encode);
         writer.list(report.pools, OwnedPool::encode);
     }
 
     private static InstanceReport decode(MessageReader reader) {
         return new InstanceReport(
-                reader.flag(), reader.number(), reader.list(Usage::decode), reader.list(OwnedPool::decode));
+                reader.flag(),
+                reader.number(),
+                reader.number(),
+                reader.list(Usage::decode),
+                reader.list(OwnedPool::decode));
     }
 }
--- a/relay/src/main/java/org/cowslippick/relay/state/EndpointBook.java
+++ b/relay/src/main/java/org/cowslippick/relay/state/EndpointBook.java
@@ -23,11 +23,15 @@
     /** The platform's promise is two seconds; the rest is for the way of the last change. */
     private static final Duration RETURN_GRACE = Duration.ofMillis(2200);
 
+    private static final long NEVER_READ = -1;
+
     private final TimerService timer;
     private final Consumer<ImmutableList<LiveEndpoint>> consumer;
     private ImmutableMap<String, LiveEndpoint> registered = ImmutableMap.of();
     private ImmutableMap<String, LiveEndpoint> used = ImmutableMap.of();
     private Optional<Long> graceUntilNanos = Optional.empty();
+    private long revision = NEVER_READ;
+    private boolean storeAway = true;
 
     /** Creates an empty book; the consumer hears of each change. */
     public EndpointBook(TimerService timer, Consumer<ImmutableList<LiveEndpoint>> consumer) {
@@ -35,14 +39,50 @@
         this.consumer = consumer;
     }
 
+    /** The store does not answer; other instances may know more until it does. */
+    public void storeLost() {
+        storeAway = true;
+    }
+
     /** The store answered again after it had been away. */
     public void storeReturned() {
+        storeAway = false;
         graceUntilNanos = Optional.of(timer.nanoTime() + RETURN_GRACE.toNanos());
         timer.after(RETURN_GRACE, this::update);
     }
 
-    /** Takes over all entries that the store holds. */
-    public void replace(ImmutableList<LiveEndpoint> entries) {
+    /** Takes over all entries that the store held at the revision. */
+    public void replace(ImmutableList<LiveEndpoint> entries, long asOf) {
+        storeAway = false;
+        if (asOf >= revision) {
+            take(entries, asOf);
+        }
+    }
+
+    /** Takes over what another instance read in the store, if this one cannot read it and knows less. */
+    public void offer(ImmutableList<LiveEndpoint> entries, long asOf) {
+        if (wants(asOf)) {
+            take(entries, asOf);
+        }
+    }
+
+    /** Whether entries of the revision, read by another instance, would be newer than what can be read here. */
+    public boolean wants(long asOf) {
+        return storeAway && asOf > revision;
+    }
+
+    /** The store's revision at which the entries were read; negative if they never were. */
+    public long revision() {
+        return revision;
+    }
+
+    /** The entries as last read. */
+    public ImmutableList<LiveEndpoint> registered() {
+        return registered.values().asList();
+    }
+
+    private void take(ImmutableList<LiveEndpoint> entries, long asOf) {
+        revision = asOf;
         registered = Maps.uniqueIndex(entries, LiveEndpoint::id);
         update();
     }
--- a/relay/src/main/java/org/cowslippick/relay/state/InstanceBook.java
+++ b/relay/src/main/java/org/cowslippick/relay/state/InstanceBook.java
@@ -15,6 +15,7 @@
     private volatile ImmutableList<Instance> others = ImmutableList.of();
     private volatile Predicate<InstanceName> serving = _name -> true;
     private volatile boolean selfServing;
+    private boolean registryRead;
 
     public InstanceBook(Instance self) {
         this.self = self;
@@ -26,9 +27,19 @@
 
     /** Takes over the registered instances other than this one. */
     public void replace(ImmutableList<Instance> registered) {
+        registryRead = true;
         others = registered;
     }
 
+    /** An instance introduced itself; it counts until the registered instances can be read. */
+    public void introduced(Instance other) {
+        if (!registryRead && !other.name().equals(self.name())) {
+            others = Stream.concat(
+                            others.stream().filter(known -> !known.name().equals(other.name())), Stream.of(other))
+                    .collect(ImmutableList.toImmutableList());
+        }
+    }
+
     /** Tells the book how to find out whether another instance serves callers. */
     public void judge(Predicate<InstanceName> judgement) {
         serving = judgement;
--- a/relay/src/main/java/org/cowslippick/relay/state/RoutingState.java
+++ b/relay/src/main/java/org/cowslippick/relay/state/RoutingState.java
@@ -1,5 +1,6 @@
 package org.cowslippick.relay.state;
 
+import java.util.Optional;
 import org.cowslippick.core.routing.RoutingTable;
 import org.cowslippick.relay.log.LogLine;
 import org.jboss.logging.Logger;
@@ -10,13 +11,19 @@
     private static final Logger LOGGER = Logger.getLogger("cowslippick.configuration");
 
     private volatile RoutingTable table = RoutingTable.NONE;
+    private volatile Optional<ConfigurationDocument> document = Optional.empty();
 
     public RoutingTable current() {
         return table;
     }
 
+    /** The document of the version in force; empty as long as there is none. */
+    public Optional<ConfigurationDocument> document() {
+        return document;
+    }
+
     /** Applies a version that is higher than the one in force; says whether it did. */
-    public boolean offer(RoutingTable candidate, String source) {
+    public boolean offer(RoutingTable candidate, String text, String source) {
         if (candidate.version() <= table.version()) {
             return false;
         }
@@ -26,6 +33,7 @@
                 .with("routes", candidate.routes().size())
                 .with("source", source));
         table = candidate;
+        document = Optional.of(new ConfigurationDocument(candidate.version(), text));
         return true;
     }
 }
--- /dev/null
+++ b/relay/src/test/java/org/cowslippick/relay/peer/BriefingsTest.java
@@ -0,0 +1,141 @@
+package org.cowslippick.relay.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.net.HostAndPort;
+import java.time.Duration;
+import java.util.Optional;
+import org.cowslippick.core.routing.CallerLimits;
+import org.cowslippick.core.routing.LiveEndpoint;
+import org.cowslippick.core.routing.RoutingTable;
+import org.cowslippick.core.time.ManualTimerService;
+import org.cowslippick.core.world.FailureDomain;
+import org.cowslippick.core.world.Instance;
+import org.cowslippick.core.world.InstanceName;
+import org.cowslippick.core.world.Region;
+import org.cowslippick.core.world.ServiceName;
+import org.cowslippick.fleet.wire.Envelope;
+import org.cowslippick.fleet.wire.FrameCodec;
+import org.cowslippick.fleet.wire.MessageTypes;
+import org.cowslippick.relay.limit.QuotaTolerance;
+import org.cowslippick.relay.limit.SharedQuotas;
+import org.cowslippick.relay.peer.BriefingMessages.Briefing;
+import org.cowslippick.relay.peer.BriefingMessages.Wanted;
+import org.cowslippick.relay.slot.OwnedSlots;
+import org.cowslippick.relay.state.ConfigurationDocument;
+import org.cowslippick.relay.state.EndpointBook;
+import org.cowslippick.relay.state.InstanceBook;
+import org.cowslippick.relay.state.RoutingState;
+import org.junit.jupiter.api.Test;
+
+class BriefingsTest {
+
+    private static final FailureDomain DOMAIN = new FailureDomain("oviedo", new Region("asturias"));
+    private static final LiveEndpoint ENGINE = new LiveEndpoint(
+            "engine-1", new ServiceName("model"), HostAndPort.fromParts("10.0.0.9", 80), DOMAIN, 4, false, 7);
+
+    private final ManualTimerService timer = new ManualTimerService();
+    private final DirectNetwork network = new DirectNetwork();
+    private final Node informed = new Node("informed", 1);
+    private final Node fresh = new Node("fresh", 2);
+
+    @Test
+    void instanceThatStartsWhileTheStoreIsAwayLearnsAllFromAnInstanceThatKnowsIt() {
+        informed.instances.replace(ImmutableList.of(fresh.instances.self()));
+        informed.routing.offer(table(3), "configuration 3", "store");
+        informed.endpoints.replace(ImmutableList.of(ENGINE), 40);
+        network.connect(informed.instances.self().name(), fresh.instances.self().name());
+        timer.advance(Duration.ofMillis(800));
+        assertEquals(3, fresh.routing.current().version());
+        assertEquals("configuration 3", fresh.routing.document().orElseThrow().text());
+        assertEquals(ImmutableList.of(ENGINE), fresh.endpoints.registered());
+        assertEquals(ImmutableList.of(informed.instances.self()), fresh.instances.others());
+    }
+
+    @Test
+    void instanceThatReadsTheStoreWithinMomentsAsksNobody() {
+        know(informed, fresh, 3);
+        timer.advance(Duration.ofMillis(500));
+        informed.routing.offer(table(4), "configuration 4", "store");
+        timer.advance(Duration.ofMillis(200));
+        fresh.routing.offer(table(4), "configuration 4", "store");
+        timer.advance(Duration.ofSeconds(2));
+        assertEquals(0, network.count(Wanted.class));
+    }
+
+    @Test
+    void instanceThatMissesAChangeOfTheStoreAsksForIt() {
+        know(informed, fresh, 3);
+        timer.advance(Duration.ofMillis(500));
+        informed.routing.offer(table(4), "configuration 4", "store");
+        timer.advance(Duration.ofSeconds(1));
+        assertEquals(4, fresh.routing.current().version());
+        assertEquals(1, network.count(Briefing.class));
+    }
+
+    @Test
+    void endpointsOfOthersDoNotReplaceWhatTheStoreAnswersItself() {
+        know(informed, fresh, 3);
+        fresh.endpoints.replace(ImmutableList.of(), 50);
+        informed.endpoints.replace(ImmutableList.of(ENGINE), 60);
+        timer.advance(Duration.ofSeconds(1));
+        assertEquals(ImmutableList.of(), fresh.endpoints.registered());
+        fresh.endpoints.storeLost();
+        timer.advance(Duration.ofSeconds(1));
+        assertEquals(ImmutableList.of(ENGINE), fresh.endpoints.registered());
+    }
+
+    @Test
+    void aBriefingSurvivesItsEncoding() {
+        FrameCodec codec = new FrameCodec(new MessageTypes(FleetSlots.MESSAGE_TYPES));
+        Briefing briefing = new Briefing(
+                Optional.of(new ConfigurationDocument(12, "{\"version\":12}")), 99, ImmutableList.of(ENGINE));
+        assertEquals(
+                briefing,
+                codec.decode(codec.encode(new Envelope(1, briefing)))
+                        .orElseThrow()
+                        .message());
+    }
+
+    private static void know(Node one, Node other, long version) {
+        one.instances.replace(ImmutableList.of(other.instances.self()));
+        other.instances.replace(ImmutableList.of(one.instances.self()));
+        one.routing.offer(table(version), "configuration", "store");
+        other.routing.offer(table(version), "configuration", "store");
+    }
+
+    private static RoutingTable table(long version) {
+        return new RoutingTable(
+                version,
+                ImmutableList.of(),
+                ImmutableList.of(),
+                CallerLimits.DEFAULT,
+                ImmutableMap.of(),
+                ImmutableMap.of());
+    }
+
+    /** What one instance believes, with the parts that exchange it. */
+    private final class Node {
+        private final InstanceBook instances;
+        private final RoutingState routing = new RoutingState();
+        private final EndpointBook endpoints;
+
+        Node(String name, int number) {
+            HostAndPort address = HostAndPort.fromParts("10.0.0." + number, 1);
+            instances = new InstanceBook(new Instance(new InstanceName(name), DOMAIN, address, address));
+            OwnedSlots owned = new OwnedSlots(timer);
+            endpoints = new EndpointBook(timer, owned::replaceEndpoints);
+            Briefings briefings = new Briefings(
+                    timer,
+                    instances,
+                    routing,
+                    endpoints,
+                    document -> routing.offer(table(document.version()), document.text(), "another instance"));
+            SharedQuotas quotas = new SharedQuotas(timer, new QuotaTolerance(Duration.ofSeconds(8), 0, 0));
+            new Fleet(instances, timer, routing, quotas, owned, briefings)
+                    .start(network.join(new InstanceName(name)), _pool -> true, () -> {});
+        }
+    }
+}
--- a/relay/src/test/java/org/cowslippick/relay/state/EndpointBookTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/state/EndpointBookTest.java
@@ -23,16 +23,16 @@
 
     @Test
     void dropsAnEndpointThatIsGoneAtOnce() {
-        book.replace(ImmutableList.of(ENGINE));
-        book.replace(ImmutableList.of());
+        book.replace(ImmutableList.of(ENGINE), 1);
+        book.replace(ImmutableList.of(), 2);
         assertEquals(ImmutableList.of(), used.get());
     }
 
     @Test
     void keepsAnEndpointThatLapsedWhileTheStoreWasAwayForTheTimeOfItsReturn() {
-        book.replace(ImmutableList.of(ENGINE));
+        book.replace(ImmutableList.of(ENGINE), 3);
         book.storeReturned();
-        book.replace(ImmutableList.of());
+        book.replace(ImmutableList.of(), 4);
         assertEquals(ImmutableList.of(ENGINE), used.get());
         timer.advance(Duration.ofMillis(2_300));
         assertEquals(ImmutableList.of(), used.get());
@@ -40,9 +40,9 @@
 
     @Test
     void doesNotKeepALeavingEndpoint() {
-        book.replace(ImmutableList.of(endpoint(true)));
+        book.replace(ImmutableList.of(endpoint(true)), 5);
         book.storeReturned();
-        book.replace(ImmutableList.of());
+        book.replace(ImmutableList.of(), 6);
         assertEquals(ImmutableList.of(), used.get());
     }
 
