--- a/relay/src/main/java/org/cowslippick/relay/peer/BriefingMessages.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/BriefingMessages.java
@@ -45,64 +45,81 @@
     record Introduction(Instance instance) implements PeerMessage {
 
         private static void encode(Introduction message, MessageWriter writer) {
-            writer.text(message.instance.name().value());
-            encodeDomain(message.instance.failureDomain(), writer);
-            writer.address(message.instance.callerAddress());
-            writer.address(message.instance.peerAddress());
+            encodeInstance(message.instance, writer);
         }
 
         private static Introduction decode(MessageReader reader) {
-            return new Introduction(new Instance(
-                    new InstanceName(reader.text()), decodeDomain(reader), reader.address(), reader.address()));
+            return new Introduction(decodeInstance(reader));
         }
     }
 
-    /** The sender knows the configuration and the endpoints of these versions, and asks for higher ones. */
-    record Wanted(long configuration, long endpoints) implements PeerMessage {
+    /** The sender knows these versions, and asks for higher ones. */
+    record Wanted(Versions known) implements PeerMessage {
 
         private static void encode(Wanted message, MessageWriter writer) {
-            writer.number(message.configuration);
-            writer.number(message.endpoints);
+            Versions.encode(message.known, writer);
         }
 
         private static Wanted decode(MessageReader reader) {
-            return new Wanted(reader.number(), reader.number());
+            return new Wanted(Versions.decode(reader));
         }
     }
 
     /**
      * What the sender read in the store.
      *
+     * @param versions at which it read the endpoints and the instances
      * @param configuration empty if the receiver's is as high
-     * @param endpointsRevision the store's revision at which the endpoints were read
+     * @param endpoints empty if the receiver's are as new
+     * @param instances empty if the receiver's are as new
      */
     record Briefing(
+            Versions versions,
             Optional<ConfigurationDocument> configuration,
-            long endpointsRevision,
-            ImmutableList<LiveEndpoint> endpoints)
+            ImmutableList<LiveEndpoint> endpoints,
+            ImmutableList<Instance> instances)
             implements PeerMessage {
 
         private static void encode(Briefing message, MessageWriter writer) {
+            Versions.encode(message.versions, writer);
             writer.flag(message.configuration.isPresent());
             message.configuration.ifPresent(document -> {
                 writer.number(document.version());
                 writer.bytes(compress(document.text()));
             });
-            writer.number(message.endpointsRevision);
             writer.list(message.endpoints, BriefingMessages::encodeEndpoint);
+            writer.list(message.instances, BriefingMessages::encodeInstance);
         }
 
         private static Briefing decode(MessageReader reader) {
             return new Briefing(
+                    Versions.decode(reader),
                     reader.flag()
                             ? Optional.of(new ConfigurationDocument(reader.number(), decompress(reader.bytes())))
                             : Optional.empty(),
-                    reader.number(),
-                    reader.list(BriefingMessages::decodeEndpoint));
+                    reader.list(BriefingMessages::decodeEndpoint),
+                    reader.list(BriefingMessages::decodeInstance));
         }
     }
 
-    private static void encodeEndpoint(LiveEndpoint endpoint, MessageWriter writer) {
+    private static void encodeInstance(Instance instance, MessageWriter writer) {
+        writer.text(instance.name().value());
+        encodeDomain(instance.failureDomain(), writer);
+        writer.address(instance.callerAddress());
+        writer.address(instance.peerAddress());
+        writer.real(instance.processors());
+    }
+
+    private static Instance decodeInstance(MessageReader reader) {
+        return new Instance(
+                new InstanceName(reader.text()),
+                decodeDomain(reader),
+                reader.address(),
+                reader.address(),
+                reader.real());
+    }
+
+    static void encodeEndpoint(LiveEndpoint endpoint, MessageWriter writer) {
         writer.text(endpoint.id());
         writer.text(endpoint.service().value());
         writer.address(endpoint.address());
@@ -112,7 +129,7 @@
         writer.number(endpoint.version());
     }
 
-    private static LiveEndpoint decodeEndpoint(MessageReader reader) {
+    static LiveEndpoint decodeEndpoint(MessageReader reader) {
         return new LiveEndpoint(
                 reader.text(),
                 new ServiceName(reader.text()),
--- a/relay/src/main/java/org/cowslippick/relay/peer/Briefings.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/Briefings.java
@@ -75,14 +75,19 @@
         });
     }
 
-    /** The store's revision at which the endpoints were read here. */
-    long endpointsRevision() {
-        return endpoints.revision();
+    /** What is known here. */
+    Versions versions() {
+        return new Versions(routing.current().version(), endpoints.revision(), instances.revision());
+    }
+
+    /** Whether the store cannot be read here. */
+    boolean isStoreAway() {
+        return endpoints.isStoreAway();
     }
 
     /** Looks at what others reported lately, and asks one that is ahead. */
-    void compare(Map<InstanceName, InstanceReport> reports) {
-        ImmutableList<InstanceName> ahead = reports.entrySet().stream()
+    void compare(Map<InstanceName, Versions> others) {
+        ImmutableList<InstanceName> ahead = others.entrySet().stream()
                 .filter(entry -> ahead(entry.getValue()))
                 .map(Map.Entry::getKey)
                 .collect(ImmutableList.toImmutableList());
@@ -93,38 +98,45 @@
         }
         long since = behindSinceNanos.orElse(now);
         behindSinceNanos = Optional.of(since);
-        boolean due = !routing.current().known() || now - since >= BEHIND_BEFORE_ASKING.toNanos();
+        boolean due = isStoreAway() || now - since >= BEHIND_BEFORE_ASKING.toNanos();
         if (due && now - askedAtNanos >= ASKING_PERIOD.toNanos()) {
             askedAtNanos = now;
             ask(ahead.get(ThreadLocalRandom.current().nextInt(ahead.size())));
         }
     }
 
-    private boolean ahead(InstanceReport report) {
-        return report.configuration() > routing.current().version() || endpoints.wants(report.endpointsRevision());
+    private boolean ahead(Versions other) {
+        return other.configuration() > routing.current().version()
+                || endpoints.wants(other.endpoints())
+                || instances.wants(other.instances());
     }
 
     private void ask(InstanceName other) {
         LOGGER.info(LogLine.of("briefing-wanted")
                 .with("from", other.value())
-                .with("configuration", routing.current().version())
-                .with("endpointsRevision", endpoints.revision()));
-        network.ifPresent(
-                peers -> peers.send(other, new Wanted(routing.current().version(), endpoints.revision())));
+                .with("configuration", versions().configuration())
+                .with("endpointsRevision", versions().endpoints())
+                .with("instancesRevision", versions().instances()));
+        network.ifPresent(peers -> peers.send(other, new Wanted(versions())));
     }
 
     private void answer(PeerNetwork peers, PeerIdentity sender, Wanted wanted) {
+        Versions known = wanted.known();
         peers.send(
                 sender.name(),
                 new Briefing(
-                        routing.document().filter(document -> document.version() > wanted.configuration()),
-                        endpoints.revision(),
-                        endpoints.revision() > wanted.endpoints() ? endpoints.registered() : ImmutableList.of()));
+                        versions(),
+                        routing.document().filter(document -> document.version() > known.configuration()),
+                        endpoints.revision() > known.endpoints() ? endpoints.used() : ImmutableList.of(),
+                        instances.revision() > known.instances() ? instances.all() : ImmutableList.of()));
     }
 
     private void briefed(PeerIdentity _sender, Briefing briefing) {
         if (!briefing.endpoints().isEmpty()) {
-            endpoints.offer(briefing.endpoints(), briefing.endpointsRevision());
+            endpoints.offer(briefing.endpoints(), briefing.versions().endpoints());
+        }
+        if (!briefing.instances().isEmpty()) {
+            instances.offer(briefing.instances(), briefing.versions().instances());
         }
         briefing.configuration().ifPresent(applier);
     }
--- a/relay/src/main/java/org/cowslippick/relay/peer/Fleet.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/Fleet.java
@@ -3,78 +3,117 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import com.google.common.net.HostAndPort;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.Function;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.cowslippick.core.time.TimerService;
+import org.cowslippick.core.world.Incarnation;
 import org.cowslippick.core.world.Instance;
 import org.cowslippick.core.world.InstanceName;
 import org.cowslippick.core.world.OrganisationName;
+import org.cowslippick.core.world.Region;
 import org.cowslippick.fleet.peer.PeerDirectory;
 import org.cowslippick.fleet.peer.PeerIdentity;
+import org.cowslippick.fleet.peer.PeerListener;
 import org.cowslippick.fleet.peer.PeerNetwork;
 import org.cowslippick.relay.limit.SharedQuotas;
 import org.cowslippick.relay.log.LogLine;
 import org.cowslippick.relay.slot.OwnedSlots;
 import org.cowslippick.relay.state.InstanceBook;
-import org.cowslippick.relay.state.RoutingState;
 import org.cowslippick.scheduler.slot.PoolLoad;
 import org.cowslippick.scheduler.slot.SlotPool;
 import org.jboss.logging.Logger;
 
 /**
- * Knows which instances are there: those that the store names and that reported lately. Reports carry what all need to
- * know of each other, so that no other message is sent without a request.
+ * Knows which instances are there: those that the store names and that reported lately. In a small fleet each instance
+ * reports to all others. In a large one each reports to the collectors of its region, which tell all others.
  */
 public final class Fleet implements PeerDirectory {
 
     private static final Logger LOGGER = Logger.getLogger("cowslippick.fleet");
 
-    /** A few instances report ten times a second; the period grows with their number, so that the cost does not. */
-    private static final Duration SHORTEST_PERIOD = Duration.ofMillis(100);
+    /** Up to so many others, reports to all of them cost less than collecting them, and arrive sooner. */
+    private static final int MOST_OTHERS_REPORTED_TO = 12;
 
-    private static final int INSTANCES_AT_SHORTEST_PERIOD = 8;
+    private static final Duration DIRECT_PERIOD = Duration.ofMillis(100);
+
+    /** Doubles with the fleet from 128 instances on, so that a collector's cost grows slower than the fleet. */
+    private static final Duration COLLECTED_PERIOD = Duration.ofMillis(250);
+
+    private static final int INSTANCES_AT_COLLECTED_PERIOD = 128;
     private static final Duration SHORTEST_SILENCE = Duration.ofMillis(800);
     private static final int PERIODS_OF_SILENCE = 3;
 
     private final InstanceBook instances;
     private final TimerService timer;
-    private final RoutingState routing;
     private final SharedQuotas quotas;
     private final OwnedSlots owned;
     private final Briefings briefings;
+    private final Collectors collectors;
+    private final RegionCollector collector;
+    private final RegionViews views = new RegionViews();
+    private final Consumer<Boolean> collecting;
     private final Map<InstanceName, Heard> heard = new HashMap<>();
+    private final Map<SlotPool, PoolLoad> loads = new HashMap<>();
+    private final Map<InstanceName, RegionReport> otherRegions = new HashMap<>();
     private Optional<PeerNetwork> network = Optional.empty();
-    private Function<SlotPool, Boolean> owns = _pool -> true;
+    private Predicate<SlotPool> owns = _pool -> true;
     private Runnable changed = () -> {};
+    private ImmutableMap<OrganisationName, Long> ownReported = ImmutableMap.of();
+    private ImmutableMap<OrganisationName, Long> ownCounted = ImmutableMap.of();
+    private boolean large;
+    private boolean collects = true;
     private volatile ImmutableSet<InstanceName> live = ImmutableSet.of();
     private volatile ImmutableSet<InstanceName> serving = ImmutableSet.of();
 
+    /**
+     * Creates the part.
+     *
+     * @param incarnation the life of this instance's process
+     * @param collecting hears whether this instance is to read the store for others
+     */
     public Fleet(
             InstanceBook instances,
+            Incarnation incarnation,
             TimerService timer,
-            RoutingState routing,
             SharedQuotas quotas,
             OwnedSlots owned,
-            Briefings briefings) {
+            Briefings briefings,
+            Consumer<Boolean> collecting) {
         this.instances = instances;
         this.timer = timer;
-        this.routing = routing;
         this.quotas = quotas;
         this.owned = owned;
         this.briefings = briefings;
+        this.collecting = collecting;
+        this.collectors = new Collectors(instances.self().name());
+        this.collector = new RegionCollector(instances.self(), incarnation);
         instances.judge(this::serves);
     }
 
     /** Starts to report and to listen. */
-    void start(PeerNetwork peers, Function<SlotPool, Boolean> ownership, Runnable onChange) {
+    void start(PeerNetwork peers, Predicate<SlotPool> ownership, Runnable onChange) {
         network = Optional.of(peers);
         owns = ownership;
         changed = onChange;
         peers.subscribe(InstanceReport.class, this::received);
+        peers.subscribe(FleetReport.class, this::received);
+        peers.listen(new PeerListener() {
+            @Override
+            public void connected(InstanceName _peer) {}
+
+            @Override
+            public void disconnected(InstanceName peer) {
+                collectors.lost(peer, timer.nanoTime());
+            }
+        });
         briefings.start(peers);
         tick();
     }
@@ -99,12 +138,7 @@
 
     /** How busy a pool is, as its owner last said. */
     Optional<PoolLoad> load(SlotPool pool) {
-        return heard.values().stream()
-                .filter(entry -> live.contains(entry.identity().name()))
-                .flatMap(entry -> entry.report().pools().stream())
-                .filter(pools -> pools.pool().equals(pool))
-                .map(InstanceReport.OwnedPool::load)
-                .findFirst();
+        return Optional.ofNullable(loads.get(pool));
     }
 
     /** Whether callers may be sent to another instance; if nobody is heard, this instance is the one cut off. */
@@ -114,35 +148,104 @@
 
     private void tick() {
         ImmutableList<Instance> others = instances.others();
+        large = others.size() > MOST_OTHERS_REPORTED_TO;
         InstanceReport report = report();
-        network.ifPresent(peers -> others.forEach(other -> peers.send(other.name(), report)));
+        ImmutableList<Instance> near = collectorsHere();
+        network.ifPresent(peers -> (large ? near : others)
+                .stream()
+                        .filter(instance -> !isSelf(instance))
+                        .forEach(instance -> peers.send(instance.name(), report)));
+        ownReported = usage(report);
+        collect(!large || near.stream().anyMatch(this::isSelf));
+        if (large && collects) {
+            tellAll(report);
+        }
         refresh(others);
-        briefings.compare(reports());
+        briefings.compare(versions());
         quotas.share((1.0 + live.size()) / (1.0 + others.size()));
         timer.after(period(others.size()), this::tick);
     }
 
-    private ImmutableMap<InstanceName, InstanceReport> reports() {
-        return heard.entrySet().stream()
-                .filter(entry -> live.contains(entry.getKey()))
+    private boolean isSelf(Instance instance) {
+        return instance.name().equals(instances.self().name());
+    }
+
+    private ImmutableList<Instance> collectorsHere() {
+        return large
+                ? collectors.expected(instances.all(), instances.self().region(), timer.nanoTime())
+                : ImmutableList.of();
+    }
+
+    private void collect(boolean wanted) {
+        if (collects != wanted) {
+            collects = wanted;
+            LOGGER.info(LogLine.of("collecting-changed").with("collects", wanted));
+            collecting.accept(wanted);
+        }
+    }
+
+    /** Reports the region to its members and to the collectors of other regions. */
+    private void tellAll(InstanceReport own) {
+        long now = timer.nanoTime();
+        ImmutableMap<RegionReport.Member, InstanceReport> members = heard.values().stream()
+                .filter(entry -> now - entry.atNanos() <= silence().toNanos())
                 .collect(ImmutableMap.toImmutableMap(
-                        Map.Entry::getKey, entry -> entry.getValue().report()));
+                        entry -> new RegionReport.Member(
+                                entry.identity().name(), entry.report().serving()),
+                        Heard::report));
+        RegionReport region = collector.report(briefings.versions(), own, members);
+        Region home = instances.self().region();
+        FleetReport near = new FleetReport(
+                briefings.isStoreAway(),
+                ImmutableList.<RegionReport>builder()
+                        .add(region)
+                        .addAll(otherRegions.values())
+                        .build());
+        otherRegions.clear();
+        FleetReport far = new FleetReport(briefings.isStoreAway(), ImmutableList.of(region));
+        ImmutableList<Instance> all = instances.all();
+        network.ifPresent(peers -> {
+            all.stream()
+                    .filter(instance -> instance.region().equals(home) && !isSelf(instance))
+                    .forEach(instance -> peers.send(instance.name(), near));
+            all.stream()
+                    .map(Instance::region)
+                    .distinct()
+                    .filter(other -> !other.equals(home))
+                    .flatMap(other -> collectors.of(all, other, now).stream())
+                    .forEach(instance -> peers.send(instance.name(), far));
+        });
+    }
+
+    private ImmutableMap<InstanceName, Versions> versions() {
+        Map<InstanceName, Versions> known = new HashMap<>(views.versions(timer.nanoTime()));
+        heard.entrySet().stream()
+                .filter(entry -> live.contains(entry.getKey()))
+                .forEach(entry ->
+                        known.put(entry.getKey(), entry.getValue().report().versions()));
+        return ImmutableMap.copyOf(known);
     }
 
     private static Duration period(int others) {
-        return SHORTEST_PERIOD.multipliedBy(Math.max(1, others / INSTANCES_AT_SHORTEST_PERIOD));
+        return others <= MOST_OTHERS_REPORTED_TO
+                ? DIRECT_PERIOD
+                : COLLECTED_PERIOD.multipliedBy(1 + others / INSTANCES_AT_COLLECTED_PERIOD);
+    }
+
+    private Duration silence() {
+        Duration periods = period(instances.others().size()).multipliedBy(PERIODS_OF_SILENCE);
+        return periods.compareTo(SHORTEST_SILENCE) > 0 ? periods : SHORTEST_SILENCE;
     }
 
     private InstanceReport report() {
         return new InstanceReport(
                 instances.isSelfServing(),
-                routing.current().version(),
-                briefings.endpointsRevision(),
+                briefings.versions(),
                 quotas.usedHere().entrySet().stream()
                         .map(entry -> new InstanceReport.Usage(entry.getKey(), entry.getValue()))
                         .collect(ImmutableList.toImmutableList()),
                 owned.pools().stream()
-                        .filter(owns::apply)
+                        .filter(owns)
                         .map(pool -> new InstanceReport.OwnedPool(pool, owned.load(pool)))
                         .collect(ImmutableList.toImmutableList()));
     }
@@ -150,6 +253,7 @@
     private void received(PeerIdentity sender, InstanceReport report) {
         Heard before = heard.get(sender.name());
         heard.put(sender.name(), new Heard(sender, report, timer.nanoTime()));
+        report.pools().forEach(pool -> loads.put(pool.pool(), pool.load()));
         boolean restarted = before != null && !before.identity().incarnation().equals(sender.incarnation());
         if (restarted) {
             LOGGER.info(
@@ -157,34 +261,79 @@
             owned.forget(sender.name());
         }
         if (before != null) {
-            count(report, restarted ? ImmutableMap.of() : before.usage());
+            count(report, restarted ? ImmutableMap.of() : usage(before.report()));
         }
         if (before == null || restarted || before.report().serving() != report.serving()) {
             refresh(instances.others());
         }
     }
 
+    /** Counts the use of a quota elsewhere: as this instance's own knowledge, and for those to whom it reports. */
     private void count(InstanceReport report, ImmutableMap<OrganisationName, Long> before) {
-        report.usage()
-                .forEach(usage -> quotas.usedElsewhere(
-                        usage.organisation(), usage.used() - before.getOrDefault(usage.organisation(), 0L)));
+        report.usage().forEach(usage -> {
+            long more = usage.used() - before.getOrDefault(usage.organisation(), 0L);
+            if (!large || collects) {
+                quotas.usedElsewhere(usage.organisation(), more);
+            }
+            collector.used(usage.organisation(), more);
+        });
+    }
+
+    private void received(PeerIdentity sender, FleetReport report) {
+        collectors.heard(sender.name(), report.storeAway(), timer.nanoTime());
+        report.regions().forEach(this::received);
+        // What reached this instance over another collector is not passed on, so that no report goes in circles.
+        report.regions().stream()
+                .filter(region -> region.collector().equals(sender.name()))
+                .filter(region -> !region.region().equals(instances.self().region()))
+                .forEach(region -> otherRegions.put(region.collector(), region));
+    }
+
+    private void received(RegionReport report) {
+        long now = timer.nanoTime();
+        Region home = instances.self().region();
+        ImmutableMap<OrganisationName, Long> used = views.received(report, now);
+        report.pools().forEach(pool -> loads.put(pool.pool(), pool.load()));
+        if (!report.region().equals(home)) {
+            used.forEach(quotas::usedElsewhere);
+        } else if (large && !collects) {
+            used.forEach(quotas::usedElsewhere);
+            withoutOwn();
+        }
+    }
+
+    /** The total of this instance's region holds its own use too, which was taken from the quotas already. */
+    private void withoutOwn() {
+        ownReported.forEach((organisation, total) ->
+                quotas.usedElsewhere(organisation, ownCounted.getOrDefault(organisation, 0L) - total));
+        ownCounted = ownReported;
+    }
+
+    private static ImmutableMap<OrganisationName, Long> usage(InstanceReport report) {
+        return report.usage().stream()
+                .collect(ImmutableMap.toImmutableMap(InstanceReport.Usage::organisation, InstanceReport.Usage::used));
     }
 
     private void refresh(ImmutableList<Instance> others) {
         long now = timer.nanoTime();
-        long silence = Math.max(
-                SHORTEST_SILENCE.toNanos(),
-                PERIODS_OF_SILENCE * period(others.size()).toNanos());
+        long silence = silence().toNanos();
         ImmutableSet<InstanceName> registered =
                 others.stream().map(Instance::name).collect(ImmutableSet.toImmutableSet());
-        ImmutableSet<InstanceName> nowLive = heard.values().stream()
-                .filter(entry -> now - entry.atNanos() <= silence)
-                .map(entry -> entry.identity().name())
-                .filter(registered::contains)
+        ImmutableSet<RegionReport.Member> present = Stream.concat(
+                        views.members(now).stream(),
+                        heard.values().stream()
+                                .filter(entry -> now - entry.atNanos() <= silence)
+                                .map(entry -> new RegionReport.Member(
+                                        entry.identity().name(), entry.report().serving())))
+                .filter(member -> registered.contains(member.name()))
                 .collect(ImmutableSet.toImmutableSet());
-        serving = nowLive.stream()
-                .filter(name -> heard.get(name).report().serving())
+        ImmutableSet<InstanceName> nowLive =
+                present.stream().map(RegionReport.Member::name).collect(ImmutableSet.toImmutableSet());
+        ImmutableSet<InstanceName> stopping = present.stream()
+                .filter(member -> !member.serving())
+                .map(RegionReport.Member::name)
                 .collect(ImmutableSet.toImmutableSet());
+        serving = nowLive.stream().filter(name -> !stopping.contains(name)).collect(ImmutableSet.toImmutableSet());
         if (!nowLive.equals(live)) {
             log(nowLive);
             live.stream().filter(name -> !nowLive.contains(name)).forEach(owned::forget);
@@ -195,21 +344,14 @@
 
     private void log(ImmutableSet<InstanceName> nowLive) {
         LOGGER.info(LogLine.of("members-changed")
-                .with(
-                        "live",
-                        String.join(
-                                ",", nowLive.stream().map(InstanceName::value).toList()))
-                .with(
-                        "before",
-                        String.join(",", live.stream().map(InstanceName::value).toList())));
+                .with("live", nowLive.size())
+                .with("joined", names(Sets.difference(nowLive, live)))
+                .with("left", names(Sets.difference(live, nowLive))));
     }
 
-    private record Heard(PeerIdentity identity, InstanceReport report, long atNanos) {
-
-        ImmutableMap<OrganisationName, Long> usage() {
-            return report.usage().stream()
-                    .collect(ImmutableMap.toImmutableMap(
-                            InstanceReport.Usage::organisation, InstanceReport.Usage::used));
-        }
+    private static String names(Set<InstanceName> names) {
+        return String.join(",", names.stream().map(InstanceName::value).sorted().toList());
     }
+
+    private record Heard(PeerIdentity identity, InstanceReport report, long atNanos) {}
 }
--- /dev/null
+++ b/relay/src/main/java/org/cowslippick/relay/peer/FleetReport.java
@@ -0,0 +1,29 @@
+package org.cowslippick.relay.peer;
+
+import com.google.common.collect.ImmutableList;
+import org.cowslippick.fleet.wire.MessageReader;
+import org.cowslippick.fleet.wire.MessageType;
+import org.cowslippick.fleet.wire.MessageWriter;
+import org.cowslippick.fleet.wire.PeerMessage;
+import org.cowslippick.fleet.wire.Priority;
+
+/**
+ * What a collector tells the members of its region and the collectors of others.
+ *
+ * @param storeAway whether the sender cannot read the store itself
+ * @param regions its own region first, then what it heard of others
+ */
+record FleetReport(boolean storeAway, ImmutableList<RegionReport> regions) implements PeerMessage {
+
+    static final MessageType<FleetReport> TYPE =
+            new MessageType<>(84, FleetReport.class, Priority.DROPPABLE, FleetReport::encode, FleetReport::decode);
+
+    private static void encode(FleetReport report, MessageWriter writer) {
+        writer.flag(report.storeAway);
+        writer.list(report.regions, RegionReport::encode);
+    }
+
+    private static FleetReport decode(MessageReader reader) {
+        return new FleetReport(reader.flag(), reader.list(RegionReport::decode));
+    }
+}
--- a/relay/src/main/java/org/cowslippick/relay/peer/FleetSlots.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/FleetSlots.java
@@ -3,17 +3,17 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.time.TimerService;
 import org.cowslippick.core.time.TimerService.Subscription;
+import org.cowslippick.core.world.Incarnation;
 import org.cowslippick.core.world.Instance;
 import org.cowslippick.core.world.InstanceName;
+import org.cowslippick.core.world.Region;
 import org.cowslippick.core.world.ServiceName;
-import org.cowslippick.fleet.ownership.Rendezvous;
 import org.cowslippick.fleet.peer.PeerIdentity;
 import org.cowslippick.fleet.peer.PeerNetwork;
 import org.cowslippick.fleet.wire.MessageType;
@@ -31,8 +31,7 @@
 import org.jboss.logging.Logger;
 
 /**
- * Asks the owner of a pool for slots. The owner is the member of the pool's region with the highest rendezvous weight;
- * an owner that does not answer at once is passed over, and this instance decides alone. Two owners at a time may fill
+ * Asks the owner of a pool for slots. An owner that does not answer at once is passed over, and this instance decides alone. Two owners at a time may fill
  * an endpoint too far, but nothing that must hold depends on there being one.
  */
 public final class FleetSlots implements SlotBroker {
@@ -42,6 +41,7 @@
             .addAll(SlotMessages.types())
             .addAll(BriefingMessages.types())
             .add(InstanceReport.TYPE)
+            .add(FleetReport.TYPE)
             .build();
 
     private static final Logger LOGGER = Logger.getLogger("cowslippick.slots");
@@ -61,7 +61,9 @@
     private final PeerNetwork network;
     private final PoolChoice choice;
     private final Map<SlotKey, Entry> entries = new HashMap<>();
-    private final Map<InstanceName, Long> passedOverUntilNanos = new HashMap<>();
+    private final Map<InstanceName, Incarnation> lives = new HashMap<>();
+    private final PoolOwners owners;
+    private final Region home;
     private long lastNumber;
 
     /** Creates the broker and starts the fleet's reports. */
@@ -71,7 +73,9 @@
         this.owned = owned;
         this.timer = timer;
         this.network = network;
-        this.choice = new PoolChoice(self.region());
+        this.home = self.region();
+        this.choice = new PoolChoice(home);
+        this.owners = new PoolOwners(self.name(), fleet::members);
         network.subscribe(SlotMessages.Ask.class, this::asked);
         network.subscribe(SlotMessages.Adopt.class, this::adopted);
         network.subscribe(
@@ -145,9 +149,7 @@
             decideHere(entry);
             return;
         }
-        boolean near = fleet.members().stream()
-                .anyMatch(
-                        member -> member.name().equals(self) && member.region().equals(entry.pool.region()));
+        boolean near = entry.pool.region().equals(home);
         send(entry.owner, new SlotMessages.Ask(entry.pool, SlotMessages.Wanted.of(entry.request, timer.nanoTime())));
         entry.timeout =
                 Optional.of(timer.after(near ? NEAR_ANSWER_TIMEOUT : FAR_ANSWER_TIMEOUT, () -> passOver(key, entry)));
@@ -175,7 +177,8 @@
                 .with("owner", entry.owner.value())
                 .with("service", entry.pool.service().value())
                 .with("region", entry.pool.region().name()));
-        passedOverUntilNanos.put(entry.owner, timer.nanoTime() + PASSED_OVER_FOR.toNanos());
+        owners.passOver(entry.owner, timer.nanoTime() + PASSED_OVER_FOR.toNanos());
+        timer.after(PASSED_OVER_FOR, () -> owners.changed(timer.nanoTime()));
         send(entry.owner, new SlotMessages.Withdrawn(entry.pool, key.number()));
         entry.owner = self;
         decideHere(entry);
@@ -183,6 +186,7 @@
 
     /** Moves what waits, and what holds a slot, to the owners of the moment. */
     private void reassign() {
+        owners.changed(timer.nanoTime());
         ImmutableList.copyOf(entries.values()).stream()
                 .filter(entry -> !entry.owner.equals(owner(entry.pool)))
                 .forEach(this::move);
@@ -215,27 +219,23 @@
     }
 
     private InstanceName owner(SlotPool pool) {
-        long now = timer.nanoTime();
-        String key = pool.service().value() + "/" + pool.region().name();
-        ImmutableList<Instance> candidates = fleet.members().stream()
-                .filter(member ->
-                        member.name().equals(self) || now - passedOverUntilNanos.getOrDefault(member.name(), now) >= 0)
-                .collect(ImmutableList.toImmutableList());
-        ImmutableList<Instance> near = candidates.stream()
-                .filter(member -> member.region().equals(pool.region()))
-                .collect(ImmutableList.toImmutableList());
-        return (near.isEmpty() ? candidates : near)
-                .stream()
-                        .map(Instance::name)
-                        .max(Comparator.comparingLong(name -> Rendezvous.weight(name, key)))
-                        .orElse(self);
+        return owners.owner(pool);
     }
 
     private PoolLoad load(SlotPool pool) {
         return owner(pool).equals(self) ? owned.load(pool) : fleet.load(pool).orElseGet(() -> owned.load(pool));
     }
 
+    /** A process that restarted holds nothing of what it held before. */
+    private void noteLife(PeerIdentity sender) {
+        Incarnation before = lives.put(sender.name(), sender.incarnation());
+        if (before != null && !before.equals(sender.incarnation())) {
+            owned.forget(sender.name());
+        }
+    }
+
     private void asked(PeerIdentity sender, SlotMessages.Ask message) {
+        noteLife(sender);
         SlotKey key = key(sender, message.wanted().number());
         RemoteListener listener = new RemoteListener(sender.name(), message.pool());
         owned.ask(message.pool(), message.wanted().toRequest(key, timer.nanoTime()), listener);
@@ -245,6 +245,7 @@
     }
 
     private void adopted(PeerIdentity sender, SlotMessages.Adopt message) {
+        noteLife(sender);
         SlotKey key = key(sender, message.wanted().number());
         owned.adopt(message.pool(), message.wanted().toRequest(key, timer.nanoTime()), message.endpoint());
     }
@@ -255,10 +256,10 @@
 
     private void granted(PeerIdentity sender, SlotMessages.Granted message) {
         Optional<Entry> entry = waitingAt(sender, message.number());
-        Optional<LiveEndpoint> endpoint = owned.endpoints(message.pool()).stream()
-                .filter(known -> known.id().equals(message.endpoint()) && !known.leaving())
-                .findFirst();
-        if (entry.isEmpty() || endpoint.isEmpty()) {
+        LiveEndpoint endpoint = message.endpoint();
+        boolean leaving = owned.endpoints(message.pool()).stream()
+                .anyMatch(known -> known.id().equals(endpoint.id()) && known.leaving());
+        if (entry.isEmpty() || leaving) {
             send(sender.name(), new SlotMessages.Ended(message.pool(), message.number(), AnswerOutcome.SOUND));
             entry.ifPresent(waiting -> {
                 waiting.cancelTimeout();
@@ -268,10 +269,8 @@
             return;
         }
         entry.get().cancelTimeout();
-        entry.get().held = Optional.of(message.endpoint());
-        entry.get()
-                .listener
-                .granted(new SlotDecision.Granted(entry.get().request, endpoint.get(), message.predictedNanos()));
+        entry.get().held = Optional.of(endpoint.id());
+        entry.get().listener.granted(new SlotDecision.Granted(entry.get().request, endpoint, message.predictedNanos()));
     }
 
     private void refused(PeerIdentity sender, SlotMessages.Refused message) {
@@ -336,10 +335,7 @@
             send(
                     receiver,
                     new SlotMessages.Granted(
-                            pool,
-                            grant.request().key().number(),
-                            grant.endpoint().id(),
-                            grant.predictedNanos()));
+                            pool, grant.request().key().number(), grant.endpoint(), grant.predictedNanos()));
         }
 
         @Override
--- a/relay/src/main/java/org/cowslippick/relay/peer/InstanceReport.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/InstanceReport.java
@@ -13,20 +13,13 @@
 import org.cowslippick.scheduler.slot.SlotPool;
 
 /**
- * What an instance tells all others several times a second.
+ * What an instance tells others several times a second: all of them in a small fleet, the collectors in a large one.
  *
  * @param serving whether callers may be sent to it
- * @param configuration the version that it has in force
- * @param endpointsRevision the store's revision at which it read the endpoints; negative if it never did
  * @param usage tokens or requests used since its process started, by organisation
  * @param pools how busy the pools are that it owns
  */
-record InstanceReport(
-        boolean serving,
-        long configuration,
-        long endpointsRevision,
-        ImmutableList<Usage> usage,
-        ImmutableList<OwnedPool> pools)
+record InstanceReport(boolean serving, Versions versions, ImmutableList<Usage> usage, ImmutableList<OwnedPool> pools)
         implements PeerMessage {
 
     static final MessageType<InstanceReport> TYPE = new MessageType<>(
@@ -35,12 +28,12 @@
     /** What one organisation used. */
     record Usage(OrganisationName organisation, long used) {
 
-        private static void encode(Usage usage, MessageWriter writer) {
+        static void encode(Usage usage, MessageWriter writer) {
             writer.text(usage.organisation.value());
             writer.number(usage.used);
         }
 
-        private static Usage decode(MessageReader reader) {
+        static Usage decode(MessageReader reader) {
             return new Usage(new OrganisationName(reader.text()), reader.number());
         }
     }
@@ -48,14 +41,14 @@
     /** How busy one pool is. */
     record OwnedPool(SlotPool pool, PoolLoad load) {
 
-        private static void encode(OwnedPool owned, MessageWriter writer) {
+        static void encode(OwnedPool owned, MessageWriter writer) {
             writer.text(owned.pool.service().value());
             writer.text(owned.pool.region().name());
             writer.number(owned.load.freeSlots());
             writer.number(owned.load.waiting());
         }
 
-        private static OwnedPool decode(MessageReader reader) {
+        static OwnedPool decode(MessageReader reader) {
             return new OwnedPool(
                     new SlotPool(new ServiceName(reader.text()), new Region(reader.text())),
                     new PoolLoad(reader.integer(), reader.integer()));
@@ -64,18 +57,13 @@
 
     private static void encode(InstanceReport report, MessageWriter writer) {
         writer.flag(report.serving);
-        writer.number(report.configuration);
-        writer.number(report.endpointsRevision);
+        Versions.encode(report.versions, writer);
         writer.list(report.usage, Usage::encode);
         writer.list(report.pools, OwnedPool::encode);
     }
 
     private static InstanceReport decode(MessageReader reader) {
         return new InstanceReport(
-                reader.flag(),
-                reader.number(),
-                reader.number(),
-                reader.list(Usage::decode),
-                reader.list(OwnedPool::decode));
+                reader.flag(), Versions.decode(reader), reader.list(Usage::decode), reader.list(OwnedPool::decode));
     }
 }
--- a/relay/src/main/java/org/cowslippick/relay/peer/SlotMessages.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/SlotMessages.java
@@ -1,6 +1,7 @@
 package org.cowslippick.relay.peer;
 
 import com.google.common.collect.ImmutableSet;
+import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.world.Region;
 import org.cowslippick.core.world.ServiceName;
 import org.cowslippick.fleet.wire.MessageReader;
@@ -184,17 +185,18 @@
     }
 
     /** The receiver may send its request to the endpoint. */
-    record Granted(SlotPool pool, long number, String endpoint, long predictedNanos) implements PeerMessage {
+    record Granted(SlotPool pool, long number, LiveEndpoint endpoint, long predictedNanos) implements PeerMessage {
 
         private static void encode(Granted message, MessageWriter writer) {
             encodePool(message.pool, writer);
             writer.number(message.number);
-            writer.text(message.endpoint);
+            BriefingMessages.encodeEndpoint(message.endpoint, writer);
             writer.number(message.predictedNanos);
         }
 
         private static Granted decode(MessageReader reader) {
-            return new Granted(decodePool(reader), reader.number(), reader.text(), reader.number());
+            return new Granted(
+                    decodePool(reader), reader.number(), BriefingMessages.decodeEndpoint(reader), reader.number());
         }
     }
 
--- /dev/null
+++ b/relay/src/main/java/org/cowslippick/relay/peer/Versions.java
@@ -0,0 +1,24 @@
+package org.cowslippick.relay.peer;
+
+import org.cowslippick.fleet.wire.MessageReader;
+import org.cowslippick.fleet.wire.MessageWriter;
+
+/**
+ * What an instance has read in the store, or heard from one that has.
+ *
+ * @param configuration the version in force; negative if there is none
+ * @param endpoints the store's revision at which the endpoints were read; negative if they never were
+ * @param instances the store's revision at which the instances were read; negative if they never were
+ */
+record Versions(long configuration, long endpoints, long instances) {
+
+    static void encode(Versions versions, MessageWriter writer) {
+        writer.number(versions.configuration);
+        writer.number(versions.endpoints);
+        writer.number(versions.instances);
+    }
+
+    static Versions decode(MessageReader reader) {
+        return new Versions(reader.number(), reader.number(), reader.number());
+    }
+}
--- a/relay/src/main/java/org/cowslippick/relay/slot/OwnedSlots.java
+++ b/relay/src/main/java/org/cowslippick/relay/slot/OwnedSlots.java
@@ -27,18 +27,19 @@
     private final TimerService timer;
     private final Map<SlotPool, SlotQueue> queues = new HashMap<>();
     private final Map<SlotKey, SlotListener> listeners = new HashMap<>();
+    private boolean stepping;
     private ImmutableListMultimap<SlotPool, LiveEndpoint> endpoints = ImmutableListMultimap.of();
 
     /** Creates empty queues. */
     public OwnedSlots(TimerService timer) {
         this.timer = timer;
-        timer.every(STEP_PERIOD, this::advance);
     }
 
     /** Asks for a slot; the listener is called once, perhaps before this method returns. */
     public void ask(SlotPool pool, SlotRequest request, SlotListener listener) {
         listeners.put(request.key(), listener);
         tell(queue(pool).offer(request, timer.nanoTime()));
+        stepLater();
     }
 
     /** Takes over a request that another owner granted a slot. */
@@ -95,8 +96,18 @@
         return queue(pool).load(timer.nanoTime());
     }
 
+    /** Keeps stepping as long as a request waits; a queue without one has nothing to decide. */
+    private void stepLater() {
+        if (!stepping && queues.values().stream().anyMatch(queue -> queue.waiting() > 0)) {
+            stepping = true;
+            timer.after(STEP_PERIOD, this::advance);
+        }
+    }
+
     private void advance() {
+        stepping = false;
         ImmutableList.copyOf(queues.values()).forEach(queue -> tell(queue.advance(timer.nanoTime())));
+        stepLater();
     }
 
     private SlotQueue queue(SlotPool pool) {
--- a/relay/src/main/java/org/cowslippick/relay/state/EndpointBook.java
+++ b/relay/src/main/java/org/cowslippick/relay/state/EndpointBook.java
@@ -66,6 +66,11 @@
         }
     }
 
+    /** Whether the store cannot be read here. */
+    public boolean isStoreAway() {
+        return storeAway;
+    }
+
     /** Whether entries of the revision, read by another instance, would be newer than what can be read here. */
     public boolean wants(long asOf) {
         return storeAway && asOf > revision;
@@ -76,9 +81,9 @@
         return revision;
     }
 
-    /** The entries as last read. */
-    public ImmutableList<LiveEndpoint> registered() {
-        return registered.values().asList();
+    /** The endpoints to use, those that are kept after an outage among them. */
+    public ImmutableList<LiveEndpoint> used() {
+        return used.values().asList();
     }
 
     private void take(ImmutableList<LiveEndpoint> entries, long asOf) {
--- a/relay/src/main/java/org/cowslippick/relay/state/InstanceBook.java
+++ b/relay/src/main/java/org/cowslippick/relay/state/InstanceBook.java
@@ -11,11 +11,14 @@
 /** The instances that callers may be sent to. */
 public final class InstanceBook {
 
+    private static final long NEVER_READ = -1;
+
     private final Instance self;
     private volatile ImmutableList<Instance> others = ImmutableList.of();
     private volatile Predicate<InstanceName> serving = _name -> true;
     private volatile boolean selfServing;
-    private boolean registryRead;
+    private long revision = NEVER_READ;
+    private boolean following;
 
     public InstanceBook(Instance self) {
         this.self = self;
@@ -25,21 +28,48 @@
         return self;
     }
 
-    /** Takes over the registered instances other than this one. */
-    public void replace(ImmutableList<Instance> registered) {
-        registryRead = true;
-        others = registered;
+    /** Takes over the instances other than this one that the store held at the revision. */
+    public void replace(ImmutableList<Instance> registered, long asOf) {
+        following = true;
+        if (asOf >= revision) {
+            revision = asOf;
+            others = registered;
+        }
     }
 
-    /** An instance introduced itself; it counts until the registered instances can be read. */
-    public void introduced(Instance other) {
-        if (!registryRead && !other.name().equals(self.name())) {
-            others = Stream.concat(
-                            others.stream().filter(known -> !known.name().equals(other.name())), Stream.of(other))
+    /** The store is not read here any more; other instances may know more. */
+    public void storeLost() {
+        following = false;
+    }
+
+    /** Whether instances of the revision, read by another instance, would be newer than what can be read here. */
+    public boolean wants(long asOf) {
+        return !following && asOf > revision;
+    }
+
+    /** Takes over the instances that another instance read in the store, if this one cannot read it and knows less. */
+    public void offer(ImmutableList<Instance> registered, long asOf) {
+        if (wants(asOf)) {
+            revision = asOf;
+            others = registered.stream()
+                    .filter(instance -> !instance.name().equals(self.name()))
                     .collect(ImmutableList.toImmutableList());
         }
     }
 
+    /** The store's revision at which the instances were read; negative if they never were. */
+    public long revision() {
+        return revision;
+    }
+
+    /** An instance introduced itself; it counts until the registered instances are read. */
+    public void introduced(Instance other) {
+        boolean known = others.stream().anyMatch(instance -> instance.name().equals(other.name()));
+        if (!following && !known && !other.name().equals(self.name())) {
+            others = Stream.concat(others.stream(), Stream.of(other)).collect(ImmutableList.toImmutableList());
+        }
+    }
+
     /** Tells the book how to find out whether another instance serves callers. */
     public void judge(Predicate<InstanceName> judgement) {
         serving = judgement;
@@ -58,6 +88,11 @@
         return others;
     }
 
+    /** This instance and the others. */
+    public ImmutableList<Instance> all() {
+        return Stream.concat(Stream.of(self), others.stream()).collect(ImmutableList.toImmutableList());
+    }
+
     /** Addresses for a caller, the nearest first: those of its region, or of all regions if it has none. */
     public ImmutableList<HostAndPort> addresses(String region, String failureDomain, int most) {
         ImmutableList<Instance> working = working();
--- a/relay/src/test/java/org/cowslippick/relay/peer/BriefingsTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/peer/BriefingsTest.java
@@ -12,6 +12,7 @@
 import org.cowslippick.core.routing.RoutingTable;
 import org.cowslippick.core.time.ManualTimerService;
 import org.cowslippick.core.world.FailureDomain;
+import org.cowslippick.core.world.Incarnation;
 import org.cowslippick.core.world.Instance;
 import org.cowslippick.core.world.InstanceName;
 import org.cowslippick.core.world.Region;
@@ -43,14 +44,14 @@
 
     @Test
     void instanceThatStartsWhileTheStoreIsAwayLearnsAllFromAnInstanceThatKnowsIt() {
-        informed.instances.replace(ImmutableList.of(fresh.instances.self()));
+        informed.instances.replace(ImmutableList.of(fresh.instances.self()), 1);
         informed.routing.offer(table(3), "configuration 3", "store");
         informed.endpoints.replace(ImmutableList.of(ENGINE), 40);
         network.connect(informed.instances.self().name(), fresh.instances.self().name());
         timer.advance(Duration.ofMillis(800));
         assertEquals(3, fresh.routing.current().version());
         assertEquals("configuration 3", fresh.routing.document().orElseThrow().text());
-        assertEquals(ImmutableList.of(ENGINE), fresh.endpoints.registered());
+        assertEquals(ImmutableList.of(ENGINE), fresh.endpoints.used());
         assertEquals(ImmutableList.of(informed.instances.self()), fresh.instances.others());
     }
 
@@ -81,17 +82,20 @@
         fresh.endpoints.replace(ImmutableList.of(), 50);
         informed.endpoints.replace(ImmutableList.of(ENGINE), 60);
         timer.advance(Duration.ofSeconds(1));
-        assertEquals(ImmutableList.of(), fresh.endpoints.registered());
+        assertEquals(ImmutableList.of(), fresh.endpoints.used());
         fresh.endpoints.storeLost();
         timer.advance(Duration.ofSeconds(1));
-        assertEquals(ImmutableList.of(ENGINE), fresh.endpoints.registered());
+        assertEquals(ImmutableList.of(ENGINE), fresh.endpoints.used());
     }
 
     @Test
     void aBriefingSurvivesItsEncoding() {
         FrameCodec codec = new FrameCodec(new MessageTypes(FleetSlots.MESSAGE_TYPES));
         Briefing briefing = new Briefing(
-                Optional.of(new ConfigurationDocument(12, "{\"version\":12}")), 99, ImmutableList.of(ENGINE));
+                new Versions(12, 99, 100),
+                Optional.of(new ConfigurationDocument(12, "{\"version\":12}")),
+                ImmutableList.of(ENGINE),
+                ImmutableList.of(informed.instances.self()));
         assertEquals(
                 briefing,
                 codec.decode(codec.encode(new Envelope(1, briefing)))
@@ -100,8 +104,10 @@
     }
 
     private static void know(Node one, Node other, long version) {
-        one.instances.replace(ImmutableList.of(other.instances.self()));
-        other.instances.replace(ImmutableList.of(one.instances.self()));
+        one.instances.replace(ImmutableList.of(other.instances.self()), 1);
+        other.instances.replace(ImmutableList.of(one.instances.self()), 1);
+        one.endpoints.replace(ImmutableList.of(), 1);
+        other.endpoints.replace(ImmutableList.of(), 1);
         one.routing.offer(table(version), "configuration", "store");
         other.routing.offer(table(version), "configuration", "store");
     }
@@ -134,7 +140,7 @@
                     endpoints,
                     document -> routing.offer(table(document.version()), document.text(), "another instance"));
             SharedQuotas quotas = new SharedQuotas(timer, new QuotaTolerance(Duration.ofSeconds(8), 0, 0));
-            new Fleet(instances, timer, routing, quotas, owned, briefings)
+            new Fleet(instances, new Incarnation(1), timer, quotas, owned, briefings, _collects -> {})
                     .start(network.join(new InstanceName(name)), _pool -> true, () -> {});
         }
     }
--- a/relay/src/test/java/org/cowslippick/relay/peer/DirectNetwork.java
+++ b/relay/src/test/java/org/cowslippick/relay/peer/DirectNetwork.java
@@ -34,7 +34,7 @@
         nodes.get(from).listeners.forEach(listener -> listener.connected(to));
     }
 
-    /** Loses all that is sent to the instance from now on. */
+    /** Loses all that is sent to the instance, or by it, from now on. */
     void cut(InstanceName name) {
         cut.add(name);
     }
@@ -55,7 +55,7 @@
         @Override
         public SendResult send(InstanceName receiver, PeerMessage message) {
             sent.add(message);
-            if (!nodes.containsKey(receiver) || cut.contains(receiver)) {
+            if (!nodes.containsKey(receiver) || cut.contains(receiver) || cut.contains(identity.name())) {
                 return SendResult.UNREACHABLE;
             }
             PeerHandler<PeerMessage> handler = nodes.get(receiver).handlers.get(message.getClass());
--- /dev/null
+++ b/relay/src/test/java/org/cowslippick/relay/peer/FleetTest.java
@@ -0,0 +1,171 @@
+package org.cowslippick.relay.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.net.HostAndPort;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.stream.IntStream;
+import org.cowslippick.core.routing.OrganisationAccess;
+import org.cowslippick.core.routing.Quota;
+import org.cowslippick.core.routing.RoutingTable;
+import org.cowslippick.core.time.ManualTimerService;
+import org.cowslippick.core.world.FailureDomain;
+import org.cowslippick.core.world.Incarnation;
+import org.cowslippick.core.world.Instance;
+import org.cowslippick.core.world.InstanceName;
+import org.cowslippick.core.world.OrganisationName;
+import org.cowslippick.core.world.Region;
+import org.cowslippick.relay.limit.QuotaTolerance;
+import org.cowslippick.relay.limit.SharedQuotas;
+import org.cowslippick.relay.slot.OwnedSlots;
+import org.cowslippick.relay.state.EndpointBook;
+import org.cowslippick.relay.state.InstanceBook;
+import org.cowslippick.relay.state.RoutingState;
+import org.junit.jupiter.api.Test;
+
+/** A large fleet in two regions, of which the first instances of each region are the strong ones. */
+class FleetTest {
+
+    private static final int INSTANCES = 40;
+    private static final int STRONG = 8;
+    private static final OrganisationName ORGANISATION = new OrganisationName("portalia");
+    private static final OrganisationAccess ACCESS =
+            new OrganisationAccess(ORGANISATION, Optional.empty(), new Quota(Quota.Unit.TOKENS, 1_000, 100_000, 0));
+
+    private final ManualTimerService timer = new ManualTimerService();
+    private final DirectNetwork network = new DirectNetwork();
+    private final ImmutableList<Node> nodes =
+            IntStream.range(0, INSTANCES).mapToObj(Node::new).collect(ImmutableList.toImmutableList());
+
+    FleetTest() {
+        ImmutableList<Instance> all =
+                nodes.stream().map(node -> node.instances.self()).collect(ImmutableList.toImmutableList());
+        nodes.forEach(node -> node.instances.replace(
+                all.stream()
+                        .filter(instance -> !instance.equals(node.instances.self()))
+                        .collect(ImmutableList.toImmutableList()),
+                1));
+        nodes.forEach(Node::start);
+    }
+
+    @Test
+    void twoStrongInstancesOfEachRegionReadTheStoreForAll() {
+        timer.advance(Duration.ofSeconds(3));
+        ImmutableList<Integer> readers = readers();
+        assertEquals(4, readers.size());
+        assertTrue(readers.stream().allMatch(number -> number < STRONG));
+        assertEquals(2, readers.stream().filter(number -> number % 2 == 0).count());
+    }
+
+    @Test
+    void allInstancesKnowWhoIsThereAlthoughMostNeverHearFromEachOther() {
+        timer.advance(Duration.ofSeconds(3));
+        assertTrue(nodes.stream().allMatch(node -> node.fleet.members().size() == INSTANCES));
+        long before = network.count(InstanceReport.class) + network.count(FleetReport.class);
+        timer.advance(Duration.ofSeconds(1));
+        long messages = network.count(InstanceReport.class) + network.count(FleetReport.class) - before;
+        assertTrue(messages < 20L * INSTANCES, "messages in a second: " + messages);
+    }
+
+    @Test
+    void anotherInstanceCollectsWhenACollectorIsGone() {
+        timer.advance(Duration.ofSeconds(3));
+        int gone = readers().get(0);
+        nodes.get(gone).stop();
+        timer.advance(Duration.ofSeconds(4));
+        assertEquals(
+                4,
+                readers().stream().filter(number -> number != gone).count(),
+                "readers beside the one that is gone: " + readers());
+        nodes.stream()
+                .filter(node -> node != nodes.get(gone))
+                .forEach(node -> assertEquals(
+                        INSTANCES - 1,
+                        node.fleet.members().size(),
+                        node.instances.self().name() + ", gone: " + gone));
+    }
+
+    @Test
+    void collectorsThatCannotReadTheStoreArePassedOver() {
+        timer.advance(Duration.ofSeconds(3));
+        ImmutableList<Integer> before = readers();
+        before.forEach(number -> nodes.get(number).endpoints.storeLost());
+        timer.advance(Duration.ofSeconds(3));
+        assertTrue(
+                readers().stream().filter(number -> !before.contains(number)).count() >= 4,
+                "readers: " + readers() + ", before: " + before);
+    }
+
+    @Test
+    void useOfAQuotaIsKnownToAllExactlyOnce() {
+        timer.advance(Duration.ofSeconds(110));
+        nodes.forEach(node -> assertTrue(node.quotas.take(ACCESS, 1_000).isEmpty()));
+        timer.advance(Duration.ofSeconds(3));
+        long refill = 3_000;
+        nodes.forEach(node -> {
+            long left = node.left();
+            long expected = 100_000 - INSTANCES * 1_000 + refill;
+            assertTrue(Math.abs(left - expected) <= 1_000, node.instances.self().name() + " has " + left);
+        });
+    }
+
+    private ImmutableList<Integer> readers() {
+        return IntStream.range(0, INSTANCES)
+                .filter(number -> nodes.get(number).reads)
+                .boxed()
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /** One instance; even ones are in the first region. */
+    private final class Node {
+        private final InstanceBook instances;
+        private final SharedQuotas quotas;
+        private final EndpointBook endpoints;
+        private final Fleet fleet;
+        private boolean reads = true;
+
+        Node(int number) {
+            FailureDomain domain = number % 2 == 0
+                    ? new FailureDomain("oviedo", new Region("asturias"))
+                    : new FailureDomain("laredo", new Region("cantabria"));
+            HostAndPort address = HostAndPort.fromParts("10.0.0." + number, 1);
+            InstanceName name = new InstanceName("front-" + number);
+            instances = new InstanceBook(new Instance(name, domain, address, address, number < STRONG ? 1.5 : 0.36));
+            instances.selfServing(true);
+            quotas = new SharedQuotas(timer, new QuotaTolerance(Duration.ofSeconds(8), 0, 0));
+            OwnedSlots owned = new OwnedSlots(timer);
+            endpoints = new EndpointBook(timer, owned::replaceEndpoints);
+            RoutingState routing = new RoutingState();
+            routing.offer(RoutingTable.NONE, "", "store");
+            Briefings briefings = new Briefings(timer, instances, routing, endpoints, _document -> {});
+            fleet = new Fleet(instances, new Incarnation(number), timer, quotas, owned, briefings, this::reads);
+        }
+
+        void start() {
+            endpoints.replace(ImmutableList.of(), 1);
+            fleet.start(network.join(instances.self().name()), _pool -> true, () -> {});
+        }
+
+        void stop() {
+            network.cut(instances.self().name());
+        }
+
+        long left() {
+            long taken = 0;
+            while (quotas.take(ACCESS, 500).isEmpty()) {
+                taken += 500;
+            }
+            return taken;
+        }
+
+        private void reads(boolean wanted) {
+            reads = wanted;
+            if (wanted) {
+                endpoints.replace(ImmutableList.of(), 1);
+            }
+        }
+    }
+}
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -4,9 +4,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Stream;
@@ -34,13 +32,8 @@
     private static final Duration RETRY_AFTER_NO_ENDPOINT = Duration.ofMillis(500);
     private static final int MAXIMUM_WAITING = 2_000;
 
-    private static final Comparator<SlotRequest> BY_RANK =
-            Comparator.comparingInt(SlotRequest::rank).thenComparingInt(SlotRequest::routeRank);
-    private static final Comparator<SlotRequest> IN_TURN =
-            BY_RANK.thenComparing(request -> !request.cameBack()).thenComparingLong(SlotRequest::arrivedAtNanos);
-
     private final Map<String, EndpointLoad> endpoints = new HashMap<>();
-    private final Map<SlotKey, SlotRequest> waiting = new LinkedHashMap<>();
+    private final WaitingLines waiting = new WaitingLines();
     private final Map<SlotKey, Running> running = new HashMap<>();
     private final DispatchRate rate = new DispatchRate();
 
@@ -55,7 +48,7 @@
         if (waiting.size() >= MAXIMUM_WAITING || (wait > 0 && !onTime && !servedLater)) {
             return refusal(request, SlotDecision.Reason.QUEUE_TOO_LONG, bounded(2 * wait));
         }
-        waiting.put(request.key(), request);
+        waiting.add(request);
         return step(nowNanos);
     }
 
@@ -88,7 +81,11 @@
 
     /** Forgets all requests of an instance whose process is gone. */
     public ImmutableList<SlotDecision> forget(InstanceName instance, long nowNanos) {
-        waiting.keySet().removeIf(key -> key.instance().equals(instance));
+        waiting.all()
+                .map(SlotRequest::key)
+                .filter(key -> key.instance().equals(instance))
+                .toList()
+                .forEach(waiting::remove);
         ImmutableList.copyOf(running.keySet()).stream()
                 .filter(key -> key.instance().equals(instance))
                 .map(running::remove)
@@ -111,7 +108,7 @@
         if (waiting.isEmpty()) {
             return ImmutableList.of();
         }
-        ImmutableList<SlotDecision> expired = ImmutableList.copyOf(waiting.values()).stream()
+        ImmutableList<SlotDecision> expired = waiting.all()
                 .filter(request -> nowNanos - request.waitsUntilNanos() >= 0)
                 .map(request ->
                         new SlotDecision.Refused(request, SlotDecision.Reason.EXPIRED, SHORTEST_RETRY_AFTER.toNanos()))
@@ -135,17 +132,23 @@
 
     private ImmutableList<SlotDecision> step(long nowNanos) {
         ImmutableList.Builder<SlotDecision> decisions = ImmutableList.builder();
-        if (!waiting.isEmpty() && open(nowNanos).findAny().isPresent()) {
-            inOrder(nowNanos).forEach(request -> place(request, nowNanos).ifPresent(decisions::add));
+        Optional<SlotRequest> next = next(nowNanos);
+        while (next.isPresent()) {
+            decisions.add(grant(next.get(), nowNanos));
+            next = next(nowNanos);
         }
         return decisions.build();
     }
 
-    private ImmutableList<SlotRequest> inOrder(long nowNanos) {
-        return waiting.values().stream()
-                .sorted(Comparator.comparing((SlotRequest request) -> late(request, nowNanos))
-                        .thenComparing(IN_TURN))
-                .collect(ImmutableList.toImmutableList());
+    /** The request that gets a slot now, if there is one for it. */
+    private Optional<SlotRequest> next(long nowNanos) {
+        if (waiting.isEmpty() || !anyOpen(nowNanos)) {
+            return Optional.empty();
+        }
+        waiting.fresh().takeWhile(request -> late(request, nowNanos)).toList().forEach(waiting::markLate);
+        return Stream.concat(waiting.fresh(), waiting.late())
+                .filter(request -> fits(request, nowNanos))
+                .findFirst();
     }
 
     /** Whether a request has missed its time; whoever came back as told keeps its turn all the same. */
@@ -153,24 +156,48 @@
         return !request.cameBack() && nowNanos + fastestNanos(request, nowNanos) - request.onTimeUntilNanos() > 0;
     }
 
-    private Stream<EndpointLoad> open(long nowNanos) {
-        return endpoints.values().stream().filter(load -> load.usable(nowNanos) && load.freeSlots() > 0);
+    private boolean anyOpen(long nowNanos) {
+        for (EndpointLoad load : endpoints.values()) {
+            if (open(load, nowNanos)) {
+                return true;
+            }
+        }
+        return false;
     }
 
-    /** The least time to the first token that any endpoint could give now. */
-    private long fastestNanos(SlotRequest request, long nowNanos) {
-        return endpoints.values().stream()
-                .filter(load -> load.usable(nowNanos))
-                .mapToLong(load -> load.predictedNanos(request))
-                .min()
-                .orElse(0);
+    private static boolean open(EndpointLoad load, long nowNanos) {
+        return load.usable(nowNanos) && load.freeSlots() > 0;
     }
 
-    private Optional<SlotDecision> place(SlotRequest request, long nowNanos) {
-        return open(nowNanos)
-                .filter(load -> !request.excluded().contains(load.endpoint().id()))
-                .min(Comparator.comparingLong(load -> cost(load, request, nowNanos)))
-                .map(load -> grant(load, request, nowNanos));
+    private boolean fits(SlotRequest request, long nowNanos) {
+        return request.excluded().isEmpty() || best(request, nowNanos).isPresent();
+    }
+
+    /** The least time to the first token that any endpoint could give now. */
+    private long fastestNanos(SlotRequest request, long nowNanos) {
+        long fastest = Long.MAX_VALUE;
+        for (EndpointLoad load : endpoints.values()) {
+            if (load.usable(nowNanos)) {
+                fastest = Math.min(fastest, load.predictedNanos(request));
+            }
+        }
+        return fastest == Long.MAX_VALUE ? 0 : fastest;
+    }
+
+    private Optional<EndpointLoad> best(SlotRequest request, long nowNanos) {
+        EndpointLoad best = null;
+        long lowest = Long.MAX_VALUE;
+        for (EndpointLoad load : endpoints.values()) {
+            if (open(load, nowNanos)
+                    && !request.excluded().contains(load.endpoint().id())) {
+                long cost = cost(load, request, nowNanos);
+                if (best == null || cost < lowest) {
+                    best = load;
+                    lowest = cost;
+                }
+            }
+        }
+        return Optional.ofNullable(best);
     }
 
     private static long cost(EndpointLoad load, SlotRequest request, long nowNanos) {
@@ -181,7 +208,8 @@
                 + (load.pauses(request) ? PAUSE_PENALTY_NANOS : 0);
     }
 
-    private SlotDecision grant(EndpointLoad load, SlotRequest request, long nowNanos) {
+    private SlotDecision grant(SlotRequest request, long nowNanos) {
+        EndpointLoad load = best(request, nowNanos).orElseThrow();
         long predicted = load.predictedNanos(request);
         waiting.remove(request.key());
         load.start(request, nowNanos);
@@ -192,21 +220,16 @@
 
     /**
      * The expected wait: as long as the slots for those ahead take to come free at the rate of late, and no shorter than
-     * others of the same rank have waited already.
+     * the next of the same rank has waited already.
      */
     private long expectedWaitNanos(SlotRequest request, long nowNanos) {
-        if (open(nowNanos).findAny().isPresent()) {
+        if (anyOpen(nowNanos)) {
             return 0;
         }
-        ImmutableList<SlotRequest> ahead = waiting.values().stream()
-                .filter(other -> BY_RANK.compare(other, request) <= 0 && !late(other, nowNanos))
-                .collect(ImmutableList.toImmutableList());
-        long waitedSoFar = ahead.stream()
-                .filter(other -> BY_RANK.compare(other, request) == 0)
-                .mapToLong(other -> nowNanos - other.arrivedAtNanos())
-                .max()
-                .orElse(0);
-        return Math.max(waitedSoFar, rate.nanosFor(ahead.size() + 1));
+        long waitedSoFar = waiting.firstLike(request)
+                .map(first -> nowNanos - first.arrivedAtNanos())
+                .orElse(0L);
+        return Math.max(waitedSoFar, rate.nanosFor(waiting.ahead(request) + 1L));
     }
 
     private static ImmutableList<SlotDecision> refusal(
