--- a/relay/src/main/java/org/cowslippick/relay/flow/Admission.java
+++ b/relay/src/main/java/org/cowslippick/relay/flow/Admission.java
@@ -17,21 +17,15 @@
  * What the configuration says of a request that is let in.
  *
  * @param version the version of the configuration that decided it
- * @param waitedBefore how long the caller has been asking, this attempt being a further one
  * @param organisation empty where callers need no credential
  */
 record Admission(
-        long version,
-        Route route,
-        ServiceName service,
-        Optional<OrganisationAccess> organisation,
-        long quotaCost,
-        Duration waitedBefore) {
+        long version, Route route, ServiceName service, Optional<OrganisationAccess> organisation, long quotaCost) {
 
     private static final Duration CONFIGURATION_EXPECTED_WITHIN = Duration.ofSeconds(1);
 
     /** Checks route and credential; the quota is not touched. */
-    static Either<Failure, Admission> of(CallerRequest request, RoutingTable table, CallerPatience patience) {
+    static Either<Failure, Admission> of(CallerRequest request, RoutingTable table) {
         if (!table.known()) {
             return Either.left(Failure.retryAfter(
                     ErrorKind.PLATFORM_UNAVAILABLE,
@@ -53,13 +47,7 @@
                 .filter(Quota::limited)
                 .map(quota -> quota.cost(request.statedTokens()))
                 .orElse(0L);
-        return Either.right(new Admission(
-                table.version(),
-                route.get(),
-                service,
-                organisation,
-                cost,
-                patience.waitedBefore(route.get(), request)));
+        return Either.right(new Admission(table.version(), route.get(), service, organisation, cost));
     }
 
     /** The rank of the organisation goes before that of the route. */
--- a/relay/src/main/java/org/cowslippick/relay/flow/Flow.java
+++ b/relay/src/main/java/org/cowslippick/relay/flow/Flow.java
@@ -124,15 +124,14 @@
 
     private SlotRequest slotRequest(SlotKey next) {
         Route route = admission.route();
-        long firstAskedAtNanos =
-                request.arrivedAtNanos() - admission.waitedBefore().toNanos();
         return new SlotRequest(
                 next,
                 admission.rank(),
                 route.rank(),
+                request.fingerprint(),
                 request.promptTokens(),
                 request.answerTokens(),
-                !admission.waitedBefore().isZero(),
+                false,
                 route.pause().toNanos(),
                 parts.routing()
                         .get()
@@ -140,18 +139,14 @@
                         .map(RoutedService::tokensPerEvent)
                         .orElse(0),
                 request.arrivedAtNanos(),
-                firstAskedAtNanos + route.target().toNanos(),
-                waitsUntilNanos(route),
+                request.arrivedAtNanos() + route.target().toNanos(),
+                waitsUntilNanos(firstWait(route)),
+                waitsUntilNanos(laterWait(route)),
                 expiresAtNanos,
                 ImmutableSet.copyOf(sentTo));
     }
 
-    /**
-     * A first attempt is better told early to come back than kept; one that came back waits as long as its caller stays,
-     * less what the endpoint needs.
-     */
-    private long waitsUntilNanos(Route route) {
-        Duration wait = admission.waitedBefore().isZero() ? firstWait(route) : laterWait(route);
+    private long waitsUntilNanos(Duration wait) {
         return Math.min(expiresAtNanos, request.arrivedAtNanos() + wait.toNanos());
     }
 
@@ -258,7 +253,8 @@
                                         .orElse(""))
                         .with("rank", admission.rank())
                         .with("routeRank", admission.route().rank())
-                        .with("cameBack", !admission.waitedBefore().isZero())
+                        .with("fingerprint", Long.toHexString(request.fingerprint()))
+                        .with("remainingMs", request.remainingMilliseconds().orElse(-1L))
                         .with("targetMs", admission.route().target().toMillis())
                         .with("promptTokens", request.promptTokens())
                         .with("sentTo", String.join(",", sentTo))
--- a/relay/src/main/java/org/cowslippick/relay/flow/Flows.java
+++ b/relay/src/main/java/org/cowslippick/relay/flow/Flows.java
@@ -24,7 +24,6 @@
     };
 
     private final FlowParts parts;
-    private final CallerPatience patience = new CallerPatience();
 
     public Flows(FlowParts parts) {
         this.parts = parts;
@@ -32,7 +31,7 @@
 
     @Override
     public CallerListener accept(CallerRequest request, CallerExchange exchange) {
-        return Admission.of(request, parts.routing().get(), patience)
+        return Admission.of(request, parts.routing().get())
                 .flatMap(admission -> overQuota(admission)
                         .<Either<Failure, Admission>>map(Either::left)
                         .orElseGet(() -> Either.right(admission)))
--- a/relay/src/main/java/org/cowslippick/relay/message/CallerRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/message/CallerRequest.java
@@ -12,6 +12,7 @@
  * @param headers those that may be passed on
  * @param host without a port
  * @param path without the query
+ * @param fingerprint the same for all attempts of a caller with the same request
  * @param remainingMilliseconds how long the caller waits, if it says so
  * @param statedTokens prompt and answer tokens, -1 if not stated
  */
@@ -24,6 +25,7 @@
         String path,
         String attemptId,
         Optional<String> credential,
+        long fingerprint,
         Optional<Long> remainingMilliseconds,
         long promptTokens,
         long answerTokens,
--- a/relay/src/main/java/org/cowslippick/relay/message/RequestReader.java
+++ b/relay/src/main/java/org/cowslippick/relay/message/RequestReader.java
@@ -2,12 +2,16 @@
 
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
 import com.google.common.primitives.Longs;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
+import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
 
@@ -30,6 +34,9 @@
     private static final DefaultHttpHeadersFactory UNCHECKED =
             DefaultHttpHeadersFactory.headersFactory().withValidation(false);
 
+    /** The same on every instance, as a caller may come back to another one. */
+    private static final HashFunction FINGERPRINT = Hashing.murmur3_128();
+
     private final HeaderNames names;
 
     public RequestReader(HeaderNames names) {
@@ -56,6 +63,7 @@
                 query < 0 ? target : target.substring(0, query),
                 headers.get(names.attemptId(), ""),
                 Optional.ofNullable(headers.get(names.credential())),
+                fingerprint(head, body),
                 Optional.ofNullable(headers.get(names.remainingTime())).map(Longs::tryParse),
                 prompt,
                 Math.min(hint, most),
@@ -63,6 +71,20 @@
                 nowNanos);
     }
 
+    private long fingerprint(HttpRequest head, ByteBuf body) {
+        Hasher hasher = FINGERPRINT
+                .newHasher()
+                .putUnencodedChars(head.method().name())
+                .putUnencodedChars(head.headers().get(HttpHeaderNames.HOST, ""))
+                .putUnencodedChars(head.uri())
+                .putUnencodedChars(head.headers().get(names.credential(), ""))
+                .putUnencodedChars(head.headers().get(names.tokenCounts(), ""));
+        for (ByteBuffer part : body.nioBuffers()) {
+            hasher.putBytes(part);
+        }
+        return hasher.hash().asLong();
+    }
+
     /** The headers of an answer that are for the caller. */
     public static HttpHeaders answerHeaders(HttpHeaders headers) {
         HttpHeaders copy = copyWithout(headers, ImmutableSet.of());
--- a/relay/src/main/java/org/cowslippick/relay/peer/SlotMessages.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/SlotMessages.java
@@ -38,14 +38,15 @@
             long number,
             int rank,
             int routeRank,
+            long fingerprint,
             long promptTokens,
             long answerTokens,
-            boolean cameBack,
             long pauseNanos,
             int tokensPerEvent,
             long waitedNanos,
             long onTimeForNanos,
             long waitsForNanos,
+            long returnWaitsForNanos,
             long expiresInNanos,
             ImmutableSet<String> excluded) {
 
@@ -54,14 +55,15 @@
                     request.key().number(),
                     request.rank(),
                     request.routeRank(),
+                    request.fingerprint(),
                     request.promptTokens(),
                     request.answerTokens(),
-                    request.cameBack(),
                     request.pauseNanos(),
                     request.tokensPerEvent(),
                     nowNanos - request.arrivedAtNanos(),
                     request.onTimeUntilNanos() - nowNanos,
                     request.waitsUntilNanos() - nowNanos,
+                    request.returnWaitsUntilNanos() - nowNanos,
                     request.expiresAtNanos() - nowNanos,
                     request.excluded());
         }
@@ -71,14 +73,16 @@
                     key,
                     rank,
                     routeRank,
+                    fingerprint,
                     promptTokens,
                     answerTokens,
-                    cameBack,
+                    false,
                     pauseNanos,
                     tokensPerEvent,
                     nowNanos - waitedNanos,
                     nowNanos + onTimeForNanos,
                     nowNanos + waitsForNanos,
+                    nowNanos + returnWaitsForNanos,
                     nowNanos + expiresInNanos,
                     excluded);
         }
@@ -87,14 +91,15 @@
             writer.number(wanted.number);
             writer.number(wanted.rank);
             writer.number(wanted.routeRank);
+            writer.number(wanted.fingerprint);
             writer.number(wanted.promptTokens);
             writer.number(wanted.answerTokens);
-            writer.flag(wanted.cameBack);
             writer.number(wanted.pauseNanos);
             writer.number(wanted.tokensPerEvent);
             writer.number(wanted.waitedNanos);
             writer.number(wanted.onTimeForNanos);
             writer.number(wanted.waitsForNanos);
+            writer.number(wanted.returnWaitsForNanos);
             writer.number(wanted.expiresInNanos);
             writer.list(wanted.excluded, (id, list) -> list.text(id));
         }
@@ -106,13 +111,14 @@
                     reader.integer(),
                     reader.number(),
                     reader.number(),
-                    reader.flag(),
+                    reader.number(),
                     reader.number(),
                     reader.integer(),
                     reader.number(),
                     reader.number(),
                     reader.number(),
                     reader.number(),
+                    reader.number(),
                     ImmutableSet.copyOf(reader.list(MessageReader::text)));
         }
     }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -35,10 +35,12 @@
     private final Map<String, EndpointLoad> endpoints = new HashMap<>();
     private final WaitingLines waiting = new WaitingLines();
     private final Map<SlotKey, Running> running = new HashMap<>();
+    private final RefusedRequests refused = new RefusedRequests();
     private final DispatchRate rate = new DispatchRate();
 
     /** Adds a request; it is granted a slot, waits, or is refused. */
-    public ImmutableList<SlotDecision> offer(SlotRequest request, long nowNanos) {
+    public ImmutableList<SlotDecision> offer(SlotRequest offered, long nowNanos) {
+        SlotRequest request = refused.recognize(offered, nowNanos);
         if (endpoints.values().stream().noneMatch(load -> !load.endpoint().leaving())) {
             return refusal(request, SlotDecision.Reason.NO_ENDPOINT, RETRY_AFTER_NO_ENDPOINT.toNanos());
         }
@@ -46,6 +48,7 @@
         boolean onTime = nowNanos + wait + fastestNanos(request, nowNanos) - request.onTimeUntilNanos() <= 0;
         boolean servedLater = request.cameBack() && nowNanos + wait - request.waitsUntilNanos() < 0;
         if (waiting.size() >= MAXIMUM_WAITING || (wait > 0 && !onTime && !servedLater)) {
+            refused.add(request, nowNanos);
             return refusal(request, SlotDecision.Reason.QUEUE_TOO_LONG, bounded(2 * wait));
         }
         waiting.add(request);
@@ -113,7 +116,10 @@
                 .map(request ->
                         new SlotDecision.Refused(request, SlotDecision.Reason.EXPIRED, SHORTEST_RETRY_AFTER.toNanos()))
                 .collect(ImmutableList.toImmutableList());
-        expired.forEach(decision -> waiting.remove(decision.request().key()));
+        expired.forEach(decision -> {
+            waiting.remove(decision.request().key());
+            refused.add(decision.request(), nowNanos);
+        });
         return Stream.concat(expired.stream(), step(nowNanos).stream()).collect(ImmutableList.toImmutableList());
     }
 
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotRequest.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotRequest.java
@@ -7,13 +7,15 @@
  *
  * @param rank 0 is the most urgent
  * @param routeRank decides among requests of the same rank, 0 being the most urgent
+ * @param fingerprint the same for all attempts of a caller with the same request
  * @param promptTokens what an endpoint has to read before its first token; 0 for application calls
  * @param answerTokens the expected length of the answer; 0 for application calls
  * @param cameBack whether the caller was told before to come back later
  * @param pauseNanos the longest pause between two events with which a stream is on time; 0 without a bound
  * @param tokensPerEvent how many tokens one event holds
  * @param onTimeUntilNanos until when the first token has to come for the answer to be on time
- * @param waitsUntilNanos when waiting any longer is no use, as the caller leaves
+ * @param waitsUntilNanos when a first attempt is better told to come back than kept
+ * @param returnWaitsUntilNanos when waiting any longer is no use, as a caller who came back leaves
  * @param expiresAtNanos when the caller, or the operator's timeout, ends the whole request
  * @param excluded endpoints that it was already sent to
  */
@@ -21,6 +23,7 @@
         SlotKey key,
         int rank,
         int routeRank,
+        long fingerprint,
         long promptTokens,
         long answerTokens,
         boolean cameBack,
@@ -29,5 +32,27 @@
         long arrivedAtNanos,
         long onTimeUntilNanos,
         long waitsUntilNanos,
+        long returnWaitsUntilNanos,
         long expiresAtNanos,
-        ImmutableSet<String> excluded) {}
+        ImmutableSet<String> excluded) {
+
+    /** The same request as one whose caller was told before to come back. */
+    SlotRequest asReturned(long firstOnTimeUntilNanos) {
+        return new SlotRequest(
+                key,
+                rank,
+                routeRank,
+                fingerprint,
+                promptTokens,
+                answerTokens,
+                true,
+                pauseNanos,
+                tokensPerEvent,
+                arrivedAtNanos,
+                firstOnTimeUntilNanos,
+                returnWaitsUntilNanos,
+                returnWaitsUntilNanos,
+                expiresAtNanos,
+                excluded);
+    }
+}
--- a/scheduler/src/test/java/org/cowslippick/scheduler/slot/SlotQueuePropertyTest.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/slot/SlotQueuePropertyTest.java
@@ -77,6 +77,7 @@
                 new SlotKey(INSTANCE, number),
                 random.nextInt(3),
                 random.nextInt(3),
+                random.nextInt(50),
                 random.nextInt(8_000),
                 random.nextInt(400),
                 random.nextBoolean(),
@@ -85,6 +86,7 @@
                 now,
                 now + Duration.ofMillis(400).toNanos(),
                 now + Duration.ofSeconds(1).toNanos(),
+                now + Duration.ofSeconds(2).toNanos(),
                 now + Duration.ofSeconds(10).toNanos(),
                 ImmutableSet.of());
     }
--- a/scheduler/src/test/java/org/cowslippick/scheduler/slot/SlotQueueTest.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/slot/SlotQueueTest.java
@@ -102,6 +102,22 @@
                         .request());
     }
 
+    @Test
+    void recognizesACallerThatComesBackAsTold() {
+        endpoints(1, 1);
+        SlotRequest running = request(0);
+        queue.offer(running, 0);
+        queue.offer(request(0), 0);
+        SlotRequest refused = builder(0, 0, false, 100);
+        queue.offer(refused, 90 * MILLISECOND);
+        SlotRequest again =
+                withFingerprint(refused.fingerprint(), Duration.ofSeconds(2).toNanos());
+        assertTrue(queue.offer(again, Duration.ofSeconds(2).toNanos()).isEmpty());
+        SlotRequest other =
+                withFingerprint(refused.fingerprint(), Duration.ofSeconds(3).toNanos());
+        assertTrue(queue.offer(other, Duration.ofSeconds(3).toNanos()).get(0) instanceof SlotDecision.Refused);
+    }
+
     @Test
     void refusesWhatWaitedTooLong() {
         endpoints(1, 1);
@@ -162,6 +178,7 @@
                 key(),
                 0,
                 0,
+                lastNumber,
                 100,
                 1_000,
                 false,
@@ -170,6 +187,7 @@
                 now,
                 now + 400 * MILLISECOND,
                 now + 400 * MILLISECOND,
+                now + 400 * MILLISECOND,
                 now + Duration.ofSeconds(10).toNanos(),
                 ImmutableSet.of());
         assertTrue(!granted(queue.offer(longAnswer, now)).equals(slow));
@@ -203,6 +221,7 @@
                 key(),
                 rank,
                 routeRank,
+                lastNumber,
                 100,
                 50,
                 cameBack,
@@ -212,6 +231,27 @@
                 targetMilliseconds * MILLISECOND,
                 Duration.ofSeconds(10).toNanos(),
                 Duration.ofSeconds(10).toNanos(),
+                Duration.ofSeconds(10).toNanos(),
+                ImmutableSet.of());
+    }
+
+    /** A request that cannot be on time, and waits for a while if its caller came back. */
+    private SlotRequest withFingerprint(long fingerprint, long nowNanos) {
+        return new SlotRequest(
+                key(),
+                0,
+                0,
+                fingerprint,
+                100,
+                50,
+                false,
+                0,
+                6,
+                nowNanos,
+                nowNanos,
+                nowNanos + 100 * MILLISECOND,
+                nowNanos + Duration.ofSeconds(5).toNanos(),
+                nowNanos + Duration.ofSeconds(10).toNanos(),
                 ImmutableSet.of());
     }
 
