A member asks only collectors whose address it knows, and reads the store itself if nobody answers

They had read the list of instances while some were still to register, and asked collectors that were not on it, whose introductions came while they still followed the store. Ruled out: lost briefings (other members of the same regions were briefed within a second). Change: introductions always count; unknown collectors are not asked; behind for 1.6 s, an instance reads the store itself. A revision moves only with what was read, so that members do not ask for the same endpoints again.

--- a/relay/src/main/java/org/cowslippick/relay/peer/Briefings.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/Briefings.java
@@ -35,6 +35,9 @@
     /** Longer than a round trip between regions and the transfer of a large configuration. */
     private static final Duration ASKING_PERIOD = Duration.ofMillis(500);
 
+    /** Several attempts to ask, and well below the time in which a change has to be in force. */
+    private static final Duration LONGEST_BEHIND = Duration.ofMillis(1600);
+
     private final TimerService timer;
     private final InstanceBook instances;
     private final RoutingState routing;
@@ -87,24 +90,37 @@
 
     /** Looks at what others reported lately, and asks one that is ahead. */
     void compare(Map<InstanceName, Versions> others) {
+        boolean behind = others.values().stream().anyMatch(this::ahead);
         ImmutableList<InstanceName> ahead = others.entrySet().stream()
                 .filter(entry -> ahead(entry.getValue()))
                 .map(Map.Entry::getKey)
+                .filter(this::known)
                 .collect(ImmutableList.toImmutableList());
         long now = timer.nanoTime();
-        if (ahead.isEmpty()) {
+        if (!behind) {
             behindSinceNanos = Optional.empty();
             return;
         }
         long since = behindSinceNanos.orElse(now);
         behindSinceNanos = Optional.of(since);
         boolean due = isStoreAway() || now - since >= BEHIND_BEFORE_ASKING.toNanos();
-        if (due && now - askedAtNanos >= ASKING_PERIOD.toNanos()) {
+        if (due && !ahead.isEmpty() && now - askedAtNanos >= ASKING_PERIOD.toNanos()) {
             askedAtNanos = now;
             ask(ahead.get(ThreadLocalRandom.current().nextInt(ahead.size())));
         }
     }
 
+    /** Whether others are ahead and do not answer, so that this instance has to read the store itself. */
+    boolean isStuck() {
+        return behindSinceNanos
+                .filter(since -> timer.nanoTime() - since >= LONGEST_BEHIND.toNanos())
+                .isPresent();
+    }
+
+    private boolean known(InstanceName name) {
+        return instances.others().stream().anyMatch(instance -> instance.name().equals(name));
+    }
+
     private boolean ahead(Versions other) {
         return other.configuration() > routing.current().version()
                 || endpoints.wants(other.endpoints())
@@ -132,6 +148,7 @@
     }
 
     private void briefed(PeerIdentity _sender, Briefing briefing) {
+        behindSinceNanos = Optional.empty();
         if (!briefing.endpoints().isEmpty()) {
             endpoints.offer(briefing.endpoints(), briefing.versions().endpoints());
         }
--- a/relay/src/main/java/org/cowslippick/relay/peer/Fleet.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/Fleet.java
@@ -156,7 +156,7 @@
                         .filter(instance -> !isSelf(instance))
                         .forEach(instance -> peers.send(instance.name(), report)));
         ownReported = usage(report);
-        collect(!large || near.stream().anyMatch(this::isSelf));
+        collect(!large || near.stream().anyMatch(this::isSelf) || briefings.isStuck());
         if (large && collects) {
             tellAll(report);
         }
--- a/relay/src/main/java/org/cowslippick/relay/state/EndpointBook.java
+++ b/relay/src/main/java/org/cowslippick/relay/state/EndpointBook.java
@@ -76,7 +76,7 @@
         return storeAway && asOf > revision;
     }
 
-    /** The store's revision at which the entries were read; negative if they never were. */
+    /** The store's revision at which the entries were first read as they are; negative if they never were. */
     public long revision() {
         return revision;
     }
@@ -87,9 +87,12 @@
     }
 
     private void take(ImmutableList<LiveEndpoint> entries, long asOf) {
-        revision = asOf;
-        registered = Maps.uniqueIndex(entries, LiveEndpoint::id);
-        update();
+        ImmutableMap<String, LiveEndpoint> taken = Maps.uniqueIndex(entries, LiveEndpoint::id);
+        if (revision == NEVER_READ || !taken.equals(registered)) {
+            revision = asOf;
+            registered = taken;
+            update();
+        }
     }
 
     private void update() {
--- a/relay/src/main/java/org/cowslippick/relay/state/InstanceBook.java
+++ b/relay/src/main/java/org/cowslippick/relay/state/InstanceBook.java
@@ -31,7 +31,7 @@
     /** Takes over the instances other than this one that the store held at the revision. */
     public void replace(ImmutableList<Instance> registered, long asOf) {
         following = true;
-        if (asOf >= revision) {
+        if (asOf >= revision && (revision == NEVER_READ || !registered.equals(others))) {
             revision = asOf;
             others = registered;
         }
@@ -62,10 +62,10 @@
         return revision;
     }
 
-    /** An instance introduced itself; it counts until the registered instances are read. */
+    /** An instance introduced itself; it counts until the registered instances are read anew. */
     public void introduced(Instance other) {
         boolean known = others.stream().anyMatch(instance -> instance.name().equals(other.name()));
-        if (!following && !known && !other.name().equals(self.name())) {
+        if (!known && !other.name().equals(self.name())) {
             others = Stream.concat(others.stream(), Stream.of(other)).collect(ImmutableList.toImmutableList());
         }
     }
