Failures of timed tasks and of message handlers are logged with their trace

Cause: the event loop keeps a failed task's exception to itself, and a periodic task ends with it; a failed handler showed only as a closed connection.

--- a/fleet/src/main/java/org/cowslippick/fleet/peer/FaultHandler.java
+++ b/fleet/src/main/java/org/cowslippick/fleet/peer/FaultHandler.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.io.IOException;
 import org.jboss.logging.Logger;
 
 /** Closes the connection, and only it, when anything on it fails. */
@@ -11,7 +12,15 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        LOGGER.infof("Connection closed. remote=%s cause=%s", context.channel().remoteAddress(), cause);
+        if (cause instanceof IOException) {
+            LOGGER.infof(
+                    "Connection closed. remote=%s cause=%s", context.channel().remoteAddress(), cause);
+        } else {
+            LOGGER.errorf(
+                    cause,
+                    "Handling a message failed. remote=%s",
+                    context.channel().remoteAddress());
+        }
         Channels.close(context);
     }
 }
--- a/relay/src/main/java/org/cowslippick/relay/time/LoopTimerService.java
+++ b/relay/src/main/java/org/cowslippick/relay/time/LoopTimerService.java
@@ -7,10 +7,14 @@
 import java.time.Instant;
 import java.util.concurrent.TimeUnit;
 import org.cowslippick.core.time.TimerService;
+import org.cowslippick.relay.log.LogLine;
+import org.jboss.logging.Logger;
 
 /** The timer service of the parts that live on one event loop: their tasks run there, so that they need no locks. */
 public final class LoopTimerService implements TimerService {
 
+    private static final Logger LOGGER = Logger.getLogger("cowslippick.timer");
+
     private final EventLoop loop;
     private final Clock clock = Clock.systemUTC();
 
@@ -30,13 +34,24 @@
 
     @Override
     public Subscription after(Duration delay, Runnable task) {
-        return subscription(loop.schedule(task, delay.toNanos(), TimeUnit.NANOSECONDS));
+        return subscription(loop.schedule(guarded(task), delay.toNanos(), TimeUnit.NANOSECONDS));
     }
 
     @Override
     public Subscription every(Duration period, Runnable task) {
         return subscription(
-                loop.scheduleWithFixedDelay(task, period.toNanos(), period.toNanos(), TimeUnit.NANOSECONDS));
+                loop.scheduleWithFixedDelay(guarded(task), period.toNanos(), period.toNanos(), TimeUnit.NANOSECONDS));
+    }
+
+    /** The event loop would keep a failure to itself, and a periodic task would end with it. */
+    private static Runnable guarded(Runnable task) {
+        return () -> {
+            try {
+                task.run();
+            } catch (RuntimeException failure) {
+                LOGGER.error(LogLine.of("task-failed"), failure);
+            }
+        };
     }
 
     private static Subscription subscription(Future<?> scheduled) {
