Old direct reports no longer hide what collectors know

Cause: at the start instances report directly until they know that the fleet is large. These reports stayed, and what they said of a collector's versions went before what the collector said later: an instance that had heard all collectors directly was never behind. Change: only reports within the limit of silence count; a collector's own word goes first. Figures: FleetTest.anInstanceThatHeardACollectorDirectlyOnceStillLearnsItsNews failed before (version -1 instead of 7).

--- a/relay/src/main/java/org/cowslippick/relay/peer/Fleet.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/Fleet.java
@@ -187,8 +187,7 @@
     /** Reports the region to its members and to the collectors of other regions. */
     private void tellAll(InstanceReport own) {
         long now = timer.nanoTime();
-        ImmutableMap<RegionReport.Member, InstanceReport> members = heard.values().stream()
-                .filter(entry -> now - entry.atNanos() <= silence().toNanos())
+        ImmutableMap<RegionReport.Member, InstanceReport> members = heardLately(now)
                 .collect(ImmutableMap.toImmutableMap(
                         entry -> new RegionReport.Member(
                                 entry.identity().name(), entry.report().serving()),
@@ -218,14 +217,20 @@
     }
 
     private ImmutableMap<InstanceName, Versions> versions() {
-        Map<InstanceName, Versions> known = new HashMap<>(views.versions(timer.nanoTime()));
-        heard.entrySet().stream()
-                .filter(entry -> live.contains(entry.getKey()))
-                .forEach(entry ->
-                        known.put(entry.getKey(), entry.getValue().report().versions()));
+        long now = timer.nanoTime();
+        Map<InstanceName, Versions> known = new HashMap<>(views.versions(now));
+        heardLately(now)
+                .forEach(entry -> known.putIfAbsent(
+                        entry.identity().name(), entry.report().versions()));
         return ImmutableMap.copyOf(known);
     }
 
+    /** Reports of a time when the fleet was small, or of instances that are gone, say nothing of now. */
+    private Stream<Heard> heardLately(long nowNanos) {
+        long silence = silence().toNanos();
+        return heard.values().stream().filter(entry -> nowNanos - entry.atNanos() <= silence);
+    }
+
     private static Duration period(int others) {
         return others <= MOST_OTHERS_REPORTED_TO
                 ? DIRECT_PERIOD
@@ -316,13 +321,11 @@
 
     private void refresh(ImmutableList<Instance> others) {
         long now = timer.nanoTime();
-        long silence = silence().toNanos();
         ImmutableSet<InstanceName> registered =
                 others.stream().map(Instance::name).collect(ImmutableSet.toImmutableSet());
         ImmutableSet<RegionReport.Member> present = Stream.concat(
                         views.members(now).stream(),
-                        heard.values().stream()
-                                .filter(entry -> now - entry.atNanos() <= silence)
+                        heardLately(now)
                                 .map(entry -> new RegionReport.Member(
                                         entry.identity().name(), entry.report().serving())))
                 .filter(member -> registered.contains(member.name()))
--- a/relay/src/test/java/org/cowslippick/relay/peer/FleetTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/peer/FleetTest.java
@@ -4,10 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.net.HostAndPort;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.stream.IntStream;
+import org.cowslippick.core.routing.CallerLimits;
 import org.cowslippick.core.routing.OrganisationAccess;
 import org.cowslippick.core.routing.Quota;
 import org.cowslippick.core.routing.RoutingTable;
@@ -99,6 +101,21 @@
                 "readers: " + readers() + ", before: " + before);
     }
 
+    @Test
+    void anInstanceThatHeardACollectorDirectlyOnceStillLearnsItsNews() {
+        Node member = nodes.get(INSTANCES - 1);
+        timer.advance(Duration.ofSeconds(3));
+        readers().forEach(number -> network.join(
+                        nodes.get(number).instances.self().name())
+                .send(
+                        member.instances.self().name(),
+                        new InstanceReport(true, new Versions(-1, 1, 1), ImmutableList.of(), ImmutableList.of())));
+        timer.advance(Duration.ofSeconds(2));
+        readers().forEach(number -> nodes.get(number).configure(7));
+        timer.advance(Duration.ofSeconds(2));
+        assertEquals(7, member.routing.current().version());
+    }
+
     @Test
     void useOfAQuotaIsKnownToAllExactlyOnce() {
         timer.advance(Duration.ofSeconds(110));
@@ -125,6 +142,7 @@
         private final SharedQuotas quotas;
         private final EndpointBook endpoints;
         private final Fleet fleet;
+        private final RoutingState routing = new RoutingState();
         private boolean reads = true;
 
         Node(int number) {
@@ -138,9 +156,8 @@
             quotas = new SharedQuotas(timer, new QuotaTolerance(Duration.ofSeconds(8), 0, 0));
             OwnedSlots owned = new OwnedSlots(timer);
             endpoints = new EndpointBook(timer, owned::replaceEndpoints);
-            RoutingState routing = new RoutingState();
-            routing.offer(RoutingTable.NONE, "", "store");
-            Briefings briefings = new Briefings(timer, instances, routing, endpoints, _document -> {});
+            Briefings briefings =
+                    new Briefings(timer, instances, routing, endpoints, document -> configure(document.version()));
             fleet = new Fleet(instances, new Incarnation(number), timer, quotas, owned, briefings, this::reads);
         }
 
@@ -149,6 +166,19 @@
             fleet.start(network.join(instances.self().name()), _pool -> true, () -> {});
         }
 
+        void configure(long version) {
+            routing.offer(
+                    new RoutingTable(
+                            version,
+                            ImmutableList.of(),
+                            ImmutableList.of(),
+                            CallerLimits.DEFAULT,
+                            ImmutableMap.of(),
+                            ImmutableMap.of()),
+                    "",
+                    "test");
+        }
+
         void stop() {
             network.cut(instances.self().name());
         }
