--- a/fleet/src/main/java/org/cowslippick/fleet/peer/FaultHandler.java
+++ b/fleet/src/main/java/org/cowslippick/fleet/peer/FaultHandler.java
@@ -1,5 +1,6 @@
 package org.cowslippick.fleet.peer;
 
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.io.IOException;
@@ -12,7 +13,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        if (cause instanceof IOException) {
+        if (cause instanceof IOException || cause instanceof ChannelException) {
             LOGGER.infof(
                     "Connection closed. remote=%s cause=%s", context.channel().remoteAddress(), cause);
         } else {
