--- a/relay/src/main/java/org/cowslippick/relay/peer/RegionCollector.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/RegionCollector.java
@@ -9,7 +9,6 @@
 import org.cowslippick.core.world.Incarnation;
 import org.cowslippick.core.world.Instance;
 import org.cowslippick.core.world.OrganisationName;
-import org.cowslippick.core.world.Region;
 import org.cowslippick.relay.peer.InstanceReport.OwnedPool;
 import org.cowslippick.relay.peer.InstanceReport.Usage;
 import org.cowslippick.relay.peer.RegionReport.Member;
@@ -54,7 +53,7 @@
         ImmutableMap<OrganisationName, Long> before = reported;
         reported = ImmutableMap.copyOf(totals);
         return new RegionReport(
-                region(),
+                self.region(),
                 self.name(),
                 incarnation,
                 versions,
@@ -66,10 +65,6 @@
                 pools(own, members));
     }
 
-    private Region region() {
-        return self.region();
-    }
-
     private static ImmutableList<OwnedPool> pools(InstanceReport own, ImmutableMap<Member, InstanceReport> members) {
         return ImmutableList.<OwnedPool>builder()
                 .addAll(own.pools())
