--- a/relay/src/main/java/org/cowslippick/relay/peer/StateSynchroniser.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/StateSynchroniser.java
@@ -146,10 +146,20 @@
                         instances.revision() > known.instances() ? instances.all() : ImmutableList.of()));
     }
 
-    private void apply(PeerIdentity _sender, StateSnapshot snapshot) {
+    private void apply(PeerIdentity sender, StateSnapshot snapshot) {
+        LOGGER.info(LogLine.of("briefing-received")
+                .with("from", sender.name().value())
+                .with("configuration", snapshot.versions().configuration())
+                .with("endpointsRevision", snapshot.versions().endpoints())
+                .with("endpoints", snapshot.endpoints().size())
+                .with("instancesRevision", snapshot.versions().instances())
+                .with("instances", snapshot.instances().size())
+                .with(
+                        "sinceRequestMs",
+                        Duration.ofNanos(timer.nanoTime() - lastRequestNanos).toMillis()));
         behindSinceNanos = Optional.empty();
         if (!snapshot.endpoints().isEmpty()) {
-            endpoints.applyFromPeer(snapshot.endpoints(), snapshot.versions().endpoints());
+            endpoints.applyFromPeer(snapshot.endpoints(), snapshot.versions().endpoints(), sender.name());
         }
         if (!snapshot.instances().isEmpty()) {
             instances.applyFromPeer(snapshot.instances(), snapshot.versions().instances());
--- a/relay/src/main/java/org/cowslippick/relay/state/EndpointDirectory.java
+++ b/relay/src/main/java/org/cowslippick/relay/state/EndpointDirectory.java
@@ -2,13 +2,16 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Maps;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.time.TimerService;
+import org.cowslippick.core.world.InstanceName;
 import org.cowslippick.relay.log.LogLine;
 import org.jboss.logging.Logger;
 
@@ -25,11 +28,13 @@
     private static final Duration RECOVERY_GRACE_PERIOD = Duration.ofMillis(2200);
 
     private static final long NEVER_READ = -1;
+    private static final String STORE = "store";
 
     private final TimerService timer;
     private final Consumer<ImmutableList<LiveEndpoint>> consumer;
     private ImmutableMap<String, LiveEndpoint> registered = ImmutableMap.of();
     private ImmutableMap<String, LiveEndpoint> active = ImmutableMap.of();
+    private ImmutableSet<String> keptIds = ImmutableSet.of();
     private Optional<Long> gracePeriodEndNanos = Optional.empty();
     private long revision = NEVER_READ;
     private boolean storeUnavailable = true;
@@ -49,21 +54,21 @@
     public void storeRecovered() {
         storeUnavailable = false;
         gracePeriodEndNanos = Optional.of(timer.nanoTime() + RECOVERY_GRACE_PERIOD.toNanos());
-        timer.schedule(RECOVERY_GRACE_PERIOD, this::update);
+        timer.schedule(RECOVERY_GRACE_PERIOD, () -> update("end of the grace period"));
     }
 
     /** Replaces all entries by those that the store held at the revision. */
     public void replace(ImmutableList<LiveEndpoint> entries, long storeRevision) {
         storeUnavailable = false;
         if (storeRevision >= revision) {
-            apply(entries, storeRevision);
+            apply(entries, storeRevision, STORE);
         }
     }
 
-    /** Applies entries that another instance read from the store, if {@link #isBehind} holds. */
-    public void applyFromPeer(ImmutableList<LiveEndpoint> entries, long storeRevision) {
+    /** Applies entries that the peer read from the store, if {@link #isBehind} holds. */
+    public void applyFromPeer(ImmutableList<LiveEndpoint> entries, long storeRevision, InstanceName peer) {
         if (isBehind(storeRevision)) {
-            apply(entries, storeRevision);
+            apply(entries, storeRevision, peer.value());
         }
     }
 
@@ -86,44 +91,65 @@
         return active.values().asList();
     }
 
-    private void apply(ImmutableList<LiveEndpoint> entries, long storeRevision) {
+    private void apply(ImmutableList<LiveEndpoint> entries, long storeRevision, String source) {
         ImmutableMap<String, LiveEndpoint> received = Maps.uniqueIndex(entries, LiveEndpoint::id);
         if (revision == NEVER_READ || !received.equals(registered)) {
             revision = storeRevision;
             registered = received;
-            update();
+            update(source);
         }
     }
 
-    private void update() {
+    private void update(String source) {
         boolean inGracePeriod =
                 gracePeriodEndNanos.filter(until -> timer.nanoTime() < until).isPresent();
-        Stream<LiveEndpoint> kept = active.values().stream()
-                .filter(endpoint -> inGracePeriod && !registered.containsKey(endpoint.id()) && !endpoint.leaving());
-        ImmutableMap<String, LiveEndpoint> next = Stream.concat(registered.values().stream(), kept)
+        ImmutableMap<String, LiveEndpoint> kept = active.values().stream()
+                .filter(endpoint -> inGracePeriod && !registered.containsKey(endpoint.id()) && !endpoint.leaving())
                 .collect(ImmutableMap.toImmutableMap(LiveEndpoint::id, endpoint -> endpoint));
-        if (!next.equals(active)) {
-            log(next);
+        ImmutableMap<String, LiveEndpoint> next = Stream.concat(registered.values().stream(), kept.values().stream())
+                .collect(ImmutableMap.toImmutableMap(LiveEndpoint::id, endpoint -> endpoint));
+        if (!next.equals(active) || !kept.keySet().equals(keptIds)) {
+            log(next, kept, source);
             active = next;
+            keptIds = kept.keySet();
             consumer.accept(next.values().asList());
         }
     }
 
-    private void log(ImmutableMap<String, LiveEndpoint> next) {
+    private void log(ImmutableMap<String, LiveEndpoint> next, ImmutableMap<String, LiveEndpoint> kept, String source) {
+        if (active.isEmpty()) {
+            LOGGER.info(LogLine.of("endpoints-loaded")
+                    .with("source", source)
+                    .with("revision", revision)
+                    .with("endpoints", describe(next)));
+            return;
+        }
         active.values().stream()
                 .filter(endpoint -> !next.containsKey(endpoint.id()))
-                .forEach(endpoint -> LOGGER.info(line("endpoint-gone", endpoint)));
+                .forEach(endpoint -> LOGGER.info(line("endpoint-gone", endpoint, source)));
+        kept.values().stream()
+                .filter(endpoint -> !keptIds.contains(endpoint.id()))
+                .forEach(endpoint -> LOGGER.info(line("endpoint-kept", endpoint, source)));
         next.values().stream()
                 .filter(endpoint -> !endpoint.equals(active.get(endpoint.id())))
-                .forEach(endpoint -> LOGGER.info(line("endpoint-changed", endpoint)));
+                .forEach(endpoint -> LOGGER.info(line("endpoint-changed", endpoint, source)));
     }
 
-    private static LogLine line(String event, LiveEndpoint endpoint) {
+    private LogLine line(String event, LiveEndpoint endpoint, String source) {
         return LogLine.of(event)
                 .with("endpoint", endpoint.id())
                 .with("service", endpoint.service().value())
                 .with("address", endpoint.address().toString())
                 .with("leaving", endpoint.leaving())
-                .with("version", endpoint.version());
+                .with("version", endpoint.version())
+                .with("source", source)
+                .with("revision", revision);
+    }
+
+    /** One short entry per endpoint, as the first list would otherwise take a line for each. */
+    private static String describe(ImmutableMap<String, LiveEndpoint> endpoints) {
+        return endpoints.values().stream()
+                .map(endpoint -> endpoint.id() + "=" + endpoint.address() + (endpoint.leaving() ? " leaving" : ""))
+                .collect(Collectors.joining(","));
     }
 }
