A failing test for the incident DRAIN: a member keeps an endpoint whose grace period ended at the collector

Figures: mvn -pl relay -am test -Dtest=StateSynchroniserTest: expected no endpoint, was engine-1, at the member; the collector's own list was empty.

Conclusion: the mechanism is reproduced.

--- a/relay/src/test/java/org/cowslippick/relay/peer/StateSynchroniserTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/peer/StateSynchroniserTest.java
@@ -88,6 +88,22 @@
         assertEquals(ImmutableList.of(ENGINE), fresh.endpoints.active());
     }
 
+    /** Incident DRAIN: a member never learned that the grace period of the collector had ended. */
+    @Test
+    void endpointThatACollectorKeptForItsGracePeriodIsDroppedByMembersInTime() {
+        initialise(informed, fresh, 3);
+        informed.endpoints.replace(ImmutableList.of(ENGINE), 40);
+        fresh.endpoints.storeLost();
+        timer.advance(Duration.ofSeconds(1));
+        assertEquals(ImmutableList.of(ENGINE), fresh.endpoints.active());
+        informed.endpoints.storeLost();
+        informed.endpoints.storeRecovered();
+        informed.endpoints.replace(ImmutableList.of(), 60);
+        timer.advance(Duration.ofSeconds(3));
+        assertEquals(ImmutableList.of(), informed.endpoints.active());
+        assertEquals(ImmutableList.of(), fresh.endpoints.active());
+    }
+
     @Test
     void snapshotIsUnchangedByEncodingAndDecoding() {
         FrameCodec codec = new FrameCodec(new MessageTypes(FleetSlotBroker.MESSAGE_TYPES));
