--- a/relay/src/main/java/org/cowslippick/relay/peer/StateSynchroniser.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/StateSynchroniser.java
@@ -158,12 +158,9 @@
                         "sinceRequestMs",
                         Duration.ofNanos(timer.nanoTime() - lastRequestNanos).toMillis()));
         behindSinceNanos = Optional.empty();
-        if (!snapshot.endpoints().isEmpty()) {
-            endpoints.applyFromPeer(snapshot.endpoints(), snapshot.versions().endpoints(), sender.name());
-        }
-        if (!snapshot.instances().isEmpty()) {
-            instances.applyFromPeer(snapshot.instances(), snapshot.versions().instances());
-        }
+        // A list is left out only if this instance already knew its revision, and is then not applied.
+        endpoints.applyFromPeer(snapshot.endpoints(), snapshot.versions().endpoints(), sender.name());
+        instances.applyFromPeer(snapshot.instances(), snapshot.versions().instances());
         snapshot.configuration().ifPresent(applier);
     }
 }
--- a/relay/src/test/java/org/cowslippick/relay/peer/StateSynchroniserTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/peer/StateSynchroniserTest.java
@@ -88,6 +88,19 @@
         assertEquals(ImmutableList.of(ENGINE), fresh.endpoints.active());
     }
 
+    @Test
+    void removalOfTheLastEndpointReachesAnInstanceThatCannotReadTheStore() {
+        initialise(informed, fresh, 3);
+        informed.endpoints.replace(ImmutableList.of(ENGINE), 40);
+        fresh.endpoints.storeLost();
+        timer.advance(Duration.ofSeconds(1));
+        assertEquals(ImmutableList.of(ENGINE), fresh.endpoints.active());
+        informed.endpoints.replace(ImmutableList.of(), 60);
+        timer.advance(Duration.ofSeconds(1));
+        assertEquals(ImmutableList.of(), fresh.endpoints.active());
+        assertEquals(60, fresh.endpoints.revision());
+    }
+
     /** Incident DRAIN: a member never learned that the grace period of the collector had ended. */
     @Test
     void endpointThatACollectorKeptForItsGracePeriodIsDroppedByMembersInTime() {
