--- a/relay/src/test/java/org/cowslippick/relay/peer/StateSynchroniserTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/peer/StateSynchroniserTest.java
@@ -34,8 +34,9 @@
 class StateSynchroniserTest {
 
     private static final FailureDomain DOMAIN = new FailureDomain("oviedo", new Region("asturias"));
-    private static final LiveEndpoint ENGINE = new LiveEndpoint(
-            "engine-1", new ServiceName("model"), HostAndPort.fromParts("10.0.0.9", 80), DOMAIN, 4, false, 7);
+    private static final LiveEndpoint ENGINE = engine(1, false);
+    private static final LiveEndpoint OTHER_ENGINE = engine(2, false);
+    private static final LiveEndpoint OTHER_ENGINE_LEAVING = engine(2, true);
 
     private final ManualTimerService timer = new ManualTimerService();
     private final InMemoryNetwork network = new InMemoryNetwork();
@@ -105,16 +106,16 @@
     @Test
     void endpointThatACollectorKeptForItsGracePeriodIsDroppedByMembersInTime() {
         initialise(informed, fresh, 3);
-        informed.endpoints.replace(ImmutableList.of(ENGINE), 40);
+        informed.endpoints.replace(ImmutableList.of(ENGINE, OTHER_ENGINE), 40);
         fresh.endpoints.storeLost();
         timer.advance(Duration.ofSeconds(1));
-        assertEquals(ImmutableList.of(ENGINE), fresh.endpoints.active());
+        assertEquals(ImmutableList.of(ENGINE, OTHER_ENGINE), fresh.endpoints.active());
         informed.endpoints.storeLost();
         informed.endpoints.storeRecovered();
-        informed.endpoints.replace(ImmutableList.of(), 60);
+        informed.endpoints.replace(ImmutableList.of(OTHER_ENGINE_LEAVING), 60);
         timer.advance(Duration.ofSeconds(3));
-        assertEquals(ImmutableList.of(), informed.endpoints.active());
-        assertEquals(ImmutableList.of(), fresh.endpoints.active());
+        assertEquals(ImmutableList.of(OTHER_ENGINE_LEAVING), informed.endpoints.active());
+        assertEquals(ImmutableList.of(OTHER_ENGINE_LEAVING), fresh.endpoints.active());
     }
 
     @Test
@@ -141,6 +142,17 @@
         other.routing.applyIfNewer(table(version), "configuration", "store");
     }
 
+    private static LiveEndpoint engine(int number, boolean leaving) {
+        return new LiveEndpoint(
+                "engine-" + number,
+                new ServiceName("model"),
+                HostAndPort.fromParts("10.0.1." + number, 80),
+                DOMAIN,
+                4,
+                leaving,
+                7);
+    }
+
     private static RoutingTable table(long version) {
         return new RoutingTable(
                 version,
