Pass on only registered endpoints, so that no instance keeps one beyond its grace period

Cause: an instance that regains the store keeps endpoints without an entry for 2.2 s. The end of the grace period changes no revision, so the receivers, pool owners among them, kept them until the next change of any endpoint.

An instance that does not read the store starts a grace period of its own when the first collector reports that it reads the store after none could; so members still keep endpoints that expired in an outage (FleetMembershipTest, new; it fails without the change, as members then never get the collector's revision). The format of messages is unchanged.

Conclusion: why it works: no entry reaches another instance without a registration, and each grace period ends by the timer of the instance that applies it.

--- a/relay/src/main/java/org/cowslippick/relay/peer/CollectorSelector.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/CollectorSelector.java
@@ -6,6 +6,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.cowslippick.core.world.Instance;
 import org.cowslippick.core.world.InstanceName;
 import org.cowslippick.core.world.Region;
@@ -35,19 +36,30 @@
     private final Map<InstanceName, Long> expectedSinceNanos = new HashMap<>();
     private final Map<InstanceName, Long> excludedUntilNanos = new HashMap<>();
     private final Map<InstanceName, Long> storeUnavailableUntilNanos = new HashMap<>();
+    private Optional<Long> lastStoreReadNanos = Optional.empty();
+    private boolean isStoreLost;
 
     CollectorSelector(InstanceName self) {
         this.self = self;
     }
 
-    void recordReport(InstanceName collector, boolean storeUnavailable, long nowNanos) {
+    /** Records a collector's report; returns whether it is the first that can read the store after none could. */
+    boolean recordReport(InstanceName collector, boolean storeUnavailable, long nowNanos) {
         lastReportNanos.put(collector, nowNanos);
         excludedUntilNanos.remove(collector);
         if (storeUnavailable) {
             storeUnavailableUntilNanos.put(collector, nowNanos + REPORT_TIMEOUT.toNanos());
-        } else {
-            storeUnavailableUntilNanos.remove(collector);
+            isStoreLost = isStoreLost
+                    || lastStoreReadNanos
+                            .filter(last -> nowNanos - last <= REPORT_TIMEOUT.toNanos())
+                            .isEmpty();
+            return false;
         }
+        storeUnavailableUntilNanos.remove(collector);
+        lastStoreReadNanos = Optional.of(nowNanos);
+        boolean isRegained = isStoreLost;
+        isStoreLost = false;
+        return isRegained;
     }
 
     /** Excludes an instance whose connection was lost, without waiting for the report timeout. */
--- a/relay/src/main/java/org/cowslippick/relay/peer/FleetMembership.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/FleetMembership.java
@@ -293,7 +293,9 @@
     }
 
     private void received(PeerIdentity sender, FleetReport report) {
-        collectorSelector.recordReport(sender.name(), report.storeUnavailable(), timer.nanoTime());
+        if (collectorSelector.recordReport(sender.name(), report.storeUnavailable(), timer.nanoTime())) {
+            stateSynchroniser.othersRegainedStore();
+        }
         report.regions().forEach(this::received);
         // Reports relayed by another collector are not forwarded, which prevents loops.
         report.regions().stream()
--- a/relay/src/main/java/org/cowslippick/relay/peer/StateSynchroniser.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/StateSynchroniser.java
@@ -78,6 +78,13 @@
         });
     }
 
+    /** Records that others can read the store again, so that entries that expired during the outage are kept here too. */
+    void othersRegainedStore() {
+        if (isStoreUnavailable()) {
+            endpoints.startGracePeriod();
+        }
+    }
+
     /** The versions of this instance's state. */
     StateVersions versions() {
         return new StateVersions(routing.current().version(), endpoints.revision(), instances.revision());
@@ -142,7 +149,7 @@
                 new StateSnapshot(
                         versions(),
                         routing.document().filter(document -> document.version() > known.configuration()),
-                        endpoints.revision() > known.endpoints() ? endpoints.active() : ImmutableList.of(),
+                        endpoints.revision() > known.endpoints() ? endpoints.registered() : ImmutableList.of(),
                         instances.revision() > known.instances() ? instances.all() : ImmutableList.of()));
     }
 
--- a/relay/src/main/java/org/cowslippick/relay/state/EndpointDirectory.java
+++ b/relay/src/main/java/org/cowslippick/relay/state/EndpointDirectory.java
@@ -18,7 +18,8 @@
 /**
  * The endpoints in use. While the store is unavailable, entries of live endpoints expire; they are registered again
  * within two seconds of its recovery. Endpoints that the store does not list after an outage are therefore kept for
- * that time.
+ * that time. Only registered endpoints are passed on to other instances, which apply grace periods of their own:
+ * otherwise an endpoint would outlive the grace period of the instance that kept it.
  */
 public final class EndpointDirectory {
 
@@ -53,6 +54,11 @@
     /** Records that the store is reachable again, and starts the grace period. */
     public void storeRecovered() {
         storeUnavailable = false;
+        startGracePeriod();
+    }
+
+    /** Keeps endpoints whose entries are missing after an outage. */
+    public void startGracePeriod() {
         gracePeriodEndNanos = Optional.of(timer.nanoTime() + RECOVERY_GRACE_PERIOD.toNanos());
         timer.schedule(RECOVERY_GRACE_PERIOD, () -> update("end of the grace period"));
     }
@@ -86,6 +92,11 @@
         return revision;
     }
 
+    /** The endpoints that the store listed at {@link #revision}. */
+    public ImmutableList<LiveEndpoint> registered() {
+        return registered.values().asList();
+    }
+
     /** The endpoints in use, including those kept after an outage. */
     public ImmutableList<LiveEndpoint> active() {
         return active.values().asList();
--- a/relay/src/test/java/org/cowslippick/relay/peer/FleetMembershipTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/peer/FleetMembershipTest.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.stream.IntStream;
 import org.cowslippick.core.routing.CallerLimits;
+import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.routing.OrganisationAccess;
 import org.cowslippick.core.routing.Quota;
 import org.cowslippick.core.routing.RoutingTable;
@@ -20,6 +21,7 @@
 import org.cowslippick.core.world.InstanceName;
 import org.cowslippick.core.world.OrganisationName;
 import org.cowslippick.core.world.Region;
+import org.cowslippick.core.world.ServiceName;
 import org.cowslippick.relay.limit.QuotaTolerance;
 import org.cowslippick.relay.limit.SharedQuotas;
 import org.cowslippick.relay.slot.LocalSlotQueues;
@@ -37,6 +39,15 @@
     private static final OrganisationAccess ACCESS =
             new OrganisationAccess(ORGANISATION, Optional.empty(), new Quota(Quota.Unit.TOKENS, 1_000, 100_000, 0));
 
+    private static final LiveEndpoint ENGINE = new LiveEndpoint(
+            "engine-1",
+            new ServiceName("model"),
+            HostAndPort.fromParts("10.0.1.1", 80),
+            new FailureDomain("oviedo", new Region("asturias")),
+            4,
+            false,
+            5);
+
     private final ManualTimerService timer = new ManualTimerService();
     private final InMemoryNetwork network = new InMemoryNetwork();
     private final ImmutableList<Node> nodes =
@@ -101,6 +112,29 @@
                 "readers: " + readers() + ", before: " + before);
     }
 
+    @Test
+    void membersKeepAnEndpointThatExpiredInAnOutageAndDropItAfterTheGracePeriod() {
+        timer.advance(Duration.ofSeconds(3));
+        ImmutableList<Integer> collectors = readers();
+        collectors.forEach(number -> nodes.get(number).endpoints.replace(ImmutableList.of(ENGINE), 5));
+        Node member = nodes.get(INSTANCES - 1);
+        timer.advance(Duration.ofSeconds(2));
+        assertEquals(ImmutableList.of(ENGINE), member.endpoints.active());
+        nodes.forEach(node -> node.isStoreReachable = false);
+        readers().forEach(number -> nodes.get(number).endpoints.storeLost());
+        timer.advance(Duration.ofSeconds(3));
+        nodes.forEach(node -> node.isStoreReachable = true);
+        readers().forEach(number -> {
+            nodes.get(number).endpoints.storeRecovered();
+            nodes.get(number).endpoints.replace(ImmutableList.of(), 6);
+        });
+        timer.advance(Duration.ofMillis(1_500));
+        assertEquals(6, member.endpoints.revision());
+        assertEquals(ImmutableList.of(ENGINE), member.endpoints.active());
+        timer.advance(Duration.ofMillis(1_500));
+        assertEquals(ImmutableList.of(), member.endpoints.active());
+    }
+
     @Test
     void outdatedDirectReportOfACollectorDoesNotHideItsNewVersions() {
         Node member = nodes.get(INSTANCES - 1);
@@ -146,6 +180,7 @@
         private final FleetMembership fleet;
         private final RoutingState routing = new RoutingState();
         private boolean readsStore = true;
+        private boolean isStoreReachable = true;
 
         Node(int number) {
             FailureDomain domain = number % 2 == 0
@@ -203,7 +238,9 @@
 
         private void setReadsStore(boolean isCollector) {
             readsStore = isCollector;
-            if (isCollector) {
+            if (!isCollector) {
+                endpoints.storeLost();
+            } else if (isStoreReachable) {
                 endpoints.replace(ImmutableList.of(), 1);
             }
         }
--- a/relay/src/test/java/org/cowslippick/relay/state/EndpointDirectoryTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/state/EndpointDirectoryTest.java
@@ -38,6 +38,15 @@
         assertEquals(ImmutableList.of(), active.get());
     }
 
+    @Test
+    void doesNotPassOnAnEndpointThatIsOnlyKept() {
+        directory.replace(ImmutableList.of(ENGINE), 3);
+        directory.storeRecovered();
+        directory.replace(ImmutableList.of(), 4);
+        assertEquals(ImmutableList.of(ENGINE), directory.active());
+        assertEquals(ImmutableList.of(), directory.registered());
+    }
+
     @Test
     void doesNotKeepALeavingEndpoint() {
         directory.replace(ImmutableList.of(endpoint(true)), 5);
