Outages in series do not prolong the time for which an endpoint is kept

Cause: one end of the grace period served all endpoints, and each recovery of the store moved it. A store that refuses single calls with 429 or 503 counts as recovered after each, so an endpoint that had left could be kept for as long as the refusals went on.

Change: an endpoint is kept until the end of the grace period in which its entry was first missing.

Evidence: laterOutagesDoNotProlongTheTimeForWhichAnEndpointIsKept failed before (engine-1 was kept at 2.3 s).

Conclusion: the bound is 2.2 s after the last recovery before the entry was removed, whatever follows.

--- a/relay/src/main/java/org/cowslippick/relay/state/EndpointDirectory.java
+++ b/relay/src/main/java/org/cowslippick/relay/state/EndpointDirectory.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Maps;
 import java.time.Duration;
 import java.util.Optional;
@@ -35,7 +34,7 @@
     private final Consumer<ImmutableList<LiveEndpoint>> consumer;
     private ImmutableMap<String, LiveEndpoint> registered = ImmutableMap.of();
     private ImmutableMap<String, LiveEndpoint> active = ImmutableMap.of();
-    private ImmutableSet<String> keptIds = ImmutableSet.of();
+    private ImmutableMap<String, KeptEndpoint> kept = ImmutableMap.of();
     private Optional<Long> gracePeriodEndNanos = Optional.empty();
     private long revision = NEVER_READ;
     private boolean storeUnavailable = true;
@@ -57,7 +56,7 @@
         startGracePeriod();
     }
 
-    /** Keeps endpoints whose entries are missing after an outage. */
+    /** Keeps endpoints whose entries are missing after an outage; endpoints that are kept already are not kept longer. */
     public void startGracePeriod() {
         gracePeriodEndNanos = Optional.of(timer.nanoTime() + RECOVERY_GRACE_PERIOD.toNanos());
         timer.schedule(RECOVERY_GRACE_PERIOD, () -> update("end of the grace period"));
@@ -112,22 +111,32 @@
     }
 
     private void update(String source) {
-        boolean inGracePeriod =
-                gracePeriodEndNanos.filter(until -> timer.nanoTime() < until).isPresent();
-        ImmutableMap<String, LiveEndpoint> kept = active.values().stream()
-                .filter(endpoint -> inGracePeriod && !registered.containsKey(endpoint.id()) && !endpoint.leaving())
+        ImmutableMap<String, KeptEndpoint> nextKept = nextKept();
+        ImmutableMap<String, LiveEndpoint> next = Stream.concat(
+                        registered.values().stream(), nextKept.values().stream().map(KeptEndpoint::endpoint))
                 .collect(ImmutableMap.toImmutableMap(LiveEndpoint::id, endpoint -> endpoint));
-        ImmutableMap<String, LiveEndpoint> next = Stream.concat(registered.values().stream(), kept.values().stream())
-                .collect(ImmutableMap.toImmutableMap(LiveEndpoint::id, endpoint -> endpoint));
-        if (!next.equals(active) || !kept.keySet().equals(keptIds)) {
-            log(next, kept, source);
+        if (!next.equals(active) || !nextKept.equals(kept)) {
+            log(next, nextKept, source);
             active = next;
-            keptIds = kept.keySet();
+            kept = nextKept;
             consumer.accept(next.values().asList());
         }
     }
 
-    private void log(ImmutableMap<String, LiveEndpoint> next, ImmutableMap<String, LiveEndpoint> kept, String source) {
+    private ImmutableMap<String, KeptEndpoint> nextKept() {
+        long now = timer.nanoTime();
+        return active.values().stream()
+                .filter(endpoint -> !registered.containsKey(endpoint.id()) && !endpoint.leaving())
+                .flatMap(endpoint -> Optional.ofNullable(kept.get(endpoint.id()))
+                        .or(() -> gracePeriodEndNanos.map(end -> new KeptEndpoint(endpoint, end)))
+                        .stream())
+                .filter(keptEndpoint -> now - keptEndpoint.untilNanos() < 0)
+                .collect(ImmutableMap.toImmutableMap(
+                        keptEndpoint -> keptEndpoint.endpoint().id(), keptEndpoint -> keptEndpoint));
+    }
+
+    private void log(
+            ImmutableMap<String, LiveEndpoint> next, ImmutableMap<String, KeptEndpoint> nextKept, String source) {
         if (active.isEmpty()) {
             LOGGER.info(LogLine.of("endpoints-loaded")
                     .with("source", source)
@@ -138,8 +147,9 @@
         active.values().stream()
                 .filter(endpoint -> !next.containsKey(endpoint.id()))
                 .forEach(endpoint -> LOGGER.info(line("endpoint-gone", endpoint, source)));
-        kept.values().stream()
-                .filter(endpoint -> !keptIds.contains(endpoint.id()))
+        nextKept.values().stream()
+                .map(KeptEndpoint::endpoint)
+                .filter(endpoint -> !kept.containsKey(endpoint.id()))
                 .forEach(endpoint -> LOGGER.info(line("endpoint-kept", endpoint, source)));
         next.values().stream()
                 .filter(endpoint -> !endpoint.equals(active.get(endpoint.id())))
@@ -163,4 +173,7 @@
                 .map(endpoint -> endpoint.id() + "=" + endpoint.address() + (endpoint.leaving() ? " leaving" : ""))
                 .collect(Collectors.joining(","));
     }
+
+    /** An endpoint without an entry, which is removed at the given time unless it is registered again. */
+    private record KeptEndpoint(LiveEndpoint endpoint, long untilNanos) {}
 }
--- a/relay/src/test/java/org/cowslippick/relay/state/EndpointDirectoryTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/state/EndpointDirectoryTest.java
@@ -38,6 +38,19 @@
         assertEquals(ImmutableList.of(), active.get());
     }
 
+    @Test
+    void laterOutagesDoNotProlongTheTimeForWhichAnEndpointIsKept() {
+        directory.replace(ImmutableList.of(ENGINE), 3);
+        directory.storeRecovered();
+        directory.replace(ImmutableList.of(), 4);
+        timer.advance(Duration.ofMillis(1_500));
+        directory.storeLost();
+        directory.storeRecovered();
+        assertEquals(ImmutableList.of(ENGINE), active.get());
+        timer.advance(Duration.ofMillis(800));
+        assertEquals(ImmutableList.of(), active.get());
+    }
+
     @Test
     void doesNotPassOnAnEndpointThatIsOnlyKept() {
         directory.replace(ImmutableList.of(ENGINE), 3);
