Newer endpoints and instances of a peer are accepted by an instance that reads the store itself

An instance whose long poll is lost notices after 5.2 s (POLL_DURATION and RESPONSE_TIMEOUT). Until then it refused newer endpoints and instances from peers that knew better; the bounds are 3 and 4 s. The configuration was not affected: its version decides, whoever it comes from.

Change: the store revision decides for endpoints and instances, too.

Evidence: readerWhoseLongPollIsLostTakesALeavingEndpointFromAPeer, readerWhoseLongPollIsLostTakesInstancesFromAPeer and equalStateReadAtDifferentRevisionsIsRequestedOnce failed before. endpointsFromPeersDoNotReplaceThoseOfAReachableStore asserted the fault itself; olderStateOfAPeerNeverReplacesNewerState takes its place and asserts the order of revisions in both directions, whether the store is reachable or not.

A lost poll delays an instance by a report, REQUEST_DELAY and a round trip, if one other instance reads the store.

--- a/relay/src/main/java/org/cowslippick/relay/peer/StateSynchroniser.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/StateSynchroniser.java
@@ -22,8 +22,8 @@
 import org.jboss.logging.Logger;
 
 /**
- * Pull-based anti-entropy for instances that cannot read the store. Reports carry the state versions of their senders;
- * an instance that stays behind requests the state from one that is ahead.
+ * Pull-based anti-entropy. Reports carry the state versions of their senders; an instance that stays behind requests the
+ * state from one that is ahead, even if it reads the store itself, as its long poll may be lost.
  */
 public final class StateSynchroniser {
 
--- a/relay/src/main/java/org/cowslippick/relay/state/EndpointDirectory.java
+++ b/relay/src/main/java/org/cowslippick/relay/state/EndpointDirectory.java
@@ -45,7 +45,7 @@
         this.consumer = consumer;
     }
 
-    /** Records that the store is unreachable; until it recovers, state of other instances is accepted. */
+    /** Records that this instance does not read the store, or cannot reach it. */
     public void storeLost() {
         storeUnavailable = true;
     }
@@ -74,6 +74,8 @@
     public void applyFromPeer(ImmutableList<LiveEndpoint> entries, long storeRevision, InstanceName peer) {
         if (isBehind(storeRevision)) {
             apply(entries, storeRevision, peer.value());
+            // Entries that are equal at both revisions need not be requested again.
+            revision = storeRevision;
         }
     }
 
@@ -81,12 +83,15 @@
         return storeUnavailable;
     }
 
-    /** Whether this instance cannot read the store and knows an older revision than the given one. */
+    /** Whether this instance knows an older revision than the given one. */
     public boolean isBehind(long storeRevision) {
-        return storeUnavailable && storeRevision > revision;
+        return storeRevision > revision;
     }
 
-    /** The store revision at which the current entries were first read; negative before the first read. */
+    /**
+     * The store revision at which the current entries were first read, here or by the peer that they came from; negative
+     * before the first read.
+     */
     public long revision() {
         return revision;
     }
--- a/relay/src/main/java/org/cowslippick/relay/state/InstanceDirectory.java
+++ b/relay/src/main/java/org/cowslippick/relay/state/InstanceDirectory.java
@@ -18,7 +18,6 @@
     private volatile Predicate<InstanceName> servingPredicate = _name -> true;
     private volatile boolean selfServing;
     private long revision = NEVER_READ;
-    private boolean readsStore;
 
     public InstanceDirectory(Instance self) {
         this.self = self;
@@ -30,21 +29,15 @@
 
     /** Replaces the other instances by those that the store held at the revision. */
     public void replace(ImmutableList<Instance> registered, long storeRevision) {
-        readsStore = true;
         if (storeRevision >= revision && (revision == NEVER_READ || !registered.equals(others))) {
             revision = storeRevision;
             others = registered;
         }
     }
 
-    /** Records that this instance no longer reads the store; state of other instances is accepted. */
-    public void storeLost() {
-        readsStore = false;
-    }
-
-    /** Whether this instance does not read the store and knows an older revision than the given one. */
+    /** Whether this instance knows an older revision than the given one. */
     public boolean isBehind(long storeRevision) {
-        return !readsStore && storeRevision > revision;
+        return storeRevision > revision;
     }
 
     /** Applies instances that another instance read from the store, if {@link #isBehind} holds. */
