An instance that hears no other instance reads the store itself

A member of a large fleet that no collector reports to kept its configuration, endpoints and instances for as long as the silence lasted: nothing told it that it was behind, and excluding silent collectors for 3 s each did not get down to itself.

Change: state that no report has confirmed for 1.6 s (MAXIMUM_LAG) counts as outdated, and the instance reads the store until it hears others again. A collector that cannot read the store is still heard, so an outage of the store causes no additional readers.

Conclusion: the age of what an instance has from others is bounded by the report timeout and 1.6 s, if it reaches the store.

--- a/relay/src/main/java/org/cowslippick/relay/peer/StateSynchroniser.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/StateSynchroniser.java
@@ -45,6 +45,7 @@
     private final Consumer<ConfigurationDocument> applier;
     private Optional<PeerNetwork> network = Optional.empty();
     private Optional<Long> behindSinceNanos = Optional.empty();
+    private long lastHeardNanos;
     private long lastRequestNanos;
 
     /** The {@code applier} decodes a received configuration and puts it in force. */
@@ -59,6 +60,7 @@
         this.routing = routing;
         this.endpoints = endpoints;
         this.applier = applier;
+        this.lastHeardNanos = timer.nanoTime();
         this.lastRequestNanos = timer.nanoTime() - REQUEST_INTERVAL.toNanos();
     }
 
@@ -103,6 +105,9 @@
                 .filter(this::isKnown)
                 .collect(ImmutableList.toImmutableList());
         long now = timer.nanoTime();
+        if (!others.isEmpty()) {
+            lastHeardNanos = now;
+        }
         if (!isBehind) {
             behindSinceNanos = Optional.empty();
             return;
@@ -116,11 +121,16 @@
         }
     }
 
-    /** Whether newer state exists but is not received from others, so that this instance must read the store itself. */
+    /**
+     * Whether newer state exists but is not received from others, or may exist unnoticed as no other instance is heard, so
+     * that this instance must read the store itself.
+     */
     boolean isStuck() {
-        return behindSinceNanos
-                .filter(since -> timer.nanoTime() - since >= MAXIMUM_LAG.toNanos())
+        long now = timer.nanoTime();
+        boolean isOutdated = behindSinceNanos
+                .filter(since -> now - since >= MAXIMUM_LAG.toNanos())
                 .isPresent();
+        return isOutdated || now - lastHeardNanos >= MAXIMUM_LAG.toNanos();
     }
 
     private boolean isKnown(InstanceName name) {
--- a/relay/src/test/java/org/cowslippick/relay/peer/FleetMembershipTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/peer/FleetMembershipTest.java
@@ -135,6 +135,19 @@
         assertEquals(ImmutableList.of(), member.endpoints.active());
     }
 
+    @Test
+    void memberThatHearsNoCollectorReadsTheStoreItself() {
+        timer.advance(Duration.ofSeconds(3));
+        nodes.stream().skip(POWERFUL).forEach(Node::stop);
+        timer.advance(Duration.ofSeconds(4));
+        assertEquals(
+                ImmutableList.of(),
+                IntStream.range(POWERFUL, INSTANCES)
+                        .filter(number -> !nodes.get(number).readsStore)
+                        .boxed()
+                        .collect(ImmutableList.toImmutableList()));
+    }
+
     @Test
     void outdatedDirectReportOfACollectorDoesNotHideItsNewVersions() {
         Node member = nodes.get(INSTANCES - 1);
