Give up on a response whose bytes do not end

Cause: three places without a bound: provisional responses and responses to other requests are skipped however many come, the body of such a response likewise, and the scanner buffers an event without end, and copies it on every read.

Change: at most 16 responses and 1 MiB are skipped for a request; an event has at most 1 MiB, as a buffered response has; the scanner searches only what is new. The connection is closed and the request fails as for a broken response, so that an idempotent one goes to another endpoint and one that may run once gets 502 at once.

Status lines, header lines, trailers, chunk sizes and bodies were bounded before, by the decoder and by the limit of buffered responses.

Conclusion: what a response may hold in memory is bounded for every part of it. Not covered: bytes that arrive slowly stay below the bounds until the route's timeout, as does an engine that sends nothing.

--- a/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
@@ -26,6 +26,11 @@
 
     private static final Logger LOGGER = Logger.getLogger("cowslippick.endpoint");
 
+    /** Provisional responses, and responses to earlier requests, that may precede the expected one. */
+    private static final int MAXIMUM_SKIPPED_RESPONSES = 16;
+
+    private static final long MAXIMUM_SKIPPED_BYTES = 1 << 20;
+
     private final String attemptIdHeader;
     private final ResponseDecoder decoder;
     private final Consumer<EndpointConnection> onReusable;
@@ -34,6 +39,8 @@
     private ChannelHandlerContext context;
     private boolean requestFlushed;
     private boolean skippingResponse;
+    private int skippedResponses;
+    private long skippedBytes;
     private boolean reusable;
     private boolean hasFailed;
     private String closeCause = "connection closed";
@@ -66,6 +73,8 @@
         listener = Optional.of(responseListener);
         attemptId = Optional.of(dispatch.attemptId());
         requestFlushed = false;
+        skippedResponses = 0;
+        skippedBytes = 0;
         reusable = false;
         decoder.expectResponseTo(dispatch.head().method().equals(HttpMethod.HEAD));
         context.write(dispatch.head());
@@ -113,13 +122,19 @@
 
     private void read(HttpObject message) {
         if (message.decoderResult().isFailure()) {
-            failRequest("the endpoint sent an invalid HTTP response");
-            context.close();
+            failAndClose("the endpoint sent an invalid HTTP response");
             return;
         }
         if (message instanceof HttpResponse head) {
             readHead(head);
         }
+        if (skippingResponse) {
+            countSkipped(message);
+        }
+        if (skippedResponses > MAXIMUM_SKIPPED_RESPONSES || skippedBytes > MAXIMUM_SKIPPED_BYTES) {
+            failAndClose("the endpoint sent too many responses to other requests");
+            return;
+        }
         if (message instanceof HttpContent content
                 && !skippingResponse
                 && content.content().isReadable()) {
@@ -130,6 +145,15 @@
         }
     }
 
+    private void countSkipped(HttpObject message) {
+        if (message instanceof HttpResponse) {
+            skippedResponses++;
+        }
+        if (message instanceof HttpContent content) {
+            skippedBytes += content.content().readableBytes();
+        }
+    }
+
     private void readHead(HttpResponse head) {
         String echoed = head.headers().get(attemptIdHeader);
         skippingResponse = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
@@ -160,6 +184,11 @@
         current.ifPresent(ResponseListener::completed);
     }
 
+    private void failAndClose(String cause) {
+        failRequest(cause);
+        context.close();
+    }
+
     private void failRequest(String cause) {
         Optional<ResponseListener> current = listener;
         listener = Optional.empty();
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/EventScanner.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/EventScanner.java
@@ -1,5 +1,6 @@
 package org.cowslippick.relay.forwarding;
 
+import com.google.common.primitives.Bytes;
 import io.netty.buffer.ByteBuf;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
@@ -13,8 +14,13 @@
 final class EventScanner {
 
     private static final String ID_FIELD = "id:";
+    private static final int MAXIMUM_EVENT_BYTES = 1 << 20;
+
+    /** The longest part of an event's end that can precede its last byte. */
+    private static final int MAXIMUM_TAIL_BYTES = 2;
 
     private final ByteArrayOutputStream partialEvent = new ByteArrayOutputStream();
+    private byte[] tail = new byte[0];
     private Optional<String> lastId = Optional.empty();
 
     /** Adds bytes; returns all complete events that have not been returned yet, byte for byte. */
@@ -22,18 +28,27 @@
         byte[] added = new byte[bytes.readableBytes()];
         bytes.readBytes(added);
         partialEvent.writeBytes(added);
-        byte[] all = partialEvent.toByteArray();
-        int end = endOfLastEvent(all);
+        byte[] unscanned = Bytes.concat(tail, added);
+        int end = endOfLastEvent(unscanned);
         if (end == 0) {
+            tail = lastBytes(unscanned);
             return new byte[0];
         }
+        byte[] all = partialEvent.toByteArray();
+        int remaining = unscanned.length - end;
+        byte[] complete = Arrays.copyOf(all, all.length - remaining);
         partialEvent.reset();
-        partialEvent.write(all, end, all.length - end);
-        byte[] complete = Arrays.copyOf(all, end);
+        partialEvent.write(all, complete.length, remaining);
+        tail = lastBytes(partialEvent.toByteArray());
         readIds(complete);
         return complete;
     }
 
+    /** Whether the event that has not ended yet is longer than any event may be. */
+    boolean isEventTooLong() {
+        return partialEvent.size() > MAXIMUM_EVENT_BYTES;
+    }
+
     boolean hasPartialEvent() {
         return partialEvent.size() > 0;
     }
@@ -41,6 +56,7 @@
     /** Discards the beginning of an event whose end will not arrive. */
     void discardPartialEvent() {
         partialEvent.reset();
+        tail = new byte[0];
     }
 
     /** The id of the last complete event that has one. */
@@ -58,6 +74,10 @@
         return 0;
     }
 
+    private static byte[] lastBytes(byte[] bytes) {
+        return Arrays.copyOfRange(bytes, Math.max(0, bytes.length - MAXIMUM_TAIL_BYTES), bytes.length);
+    }
+
     private static boolean isEmptyLine(byte[] bytes, int index) {
         int before = bytes[index - 1] == '\r' ? index - 2 : index - 1;
         return before >= 0 && bytes[before] == '\n';
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
@@ -351,6 +351,9 @@
             if (complete.length > 0) {
                 forward(complete);
             }
+            if (!released && events.isEventTooLong()) {
+                failed("an event of the stream exceeds the maximum length");
+            }
         }
 
         @Override
--- a/relay/src/test/java/org/cowslippick/relay/ScriptedEngine.java
+++ b/relay/src/test/java/org/cowslippick/relay/ScriptedEngine.java
@@ -23,11 +23,20 @@
     /** At the end of a response: reset the connection. */
     static final String RESET = "<reset>";
 
+    /** Separates a response from bytes that follow it repeatedly until the relay closes the connection. */
+    static final String ENDLESS = "<endless>";
+
+    /** Far more than the relay may read of one response. */
+    private static final int MAXIMUM_ENDLESS_BYTES = 256 << 20;
+
+    private static final int ENDLESS_BLOCK_BYTES = 1 << 14;
+
     private final ServerSocket serverSocket;
     private final LinkedBlockingQueue<String> responses = new LinkedBlockingQueue<>();
     private final LinkedBlockingQueue<String> continuations = new LinkedBlockingQueue<>();
     private final List<String> requests = new CopyOnWriteArrayList<>();
     private final AtomicInteger closedByRelay = new AtomicInteger();
+    private final AtomicInteger endlessBytes = new AtomicInteger();
 
     ScriptedEngine(String... script) throws IOException {
         this.serverSocket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -52,6 +61,11 @@
         return requests;
     }
 
+    /** Bytes written after {@link #ENDLESS}, including those that the relay has not read. */
+    int endlessBytes() {
+        return endlessBytes.get();
+    }
+
     int closedByRelay() {
         return closedByRelay.get();
     }
@@ -95,6 +109,10 @@
         if (script == null) {
             return true;
         }
+        if (script.contains(ENDLESS)) {
+            respondEndlessly(socket, script.replace("{id}", header(head, "X-Attempt")));
+            return false;
+        }
         boolean closes = script.endsWith(CLOSE);
         boolean resets = script.endsWith(RESET);
         String text = script.replace(CLOSE, "").replace(RESET, "").replace("{id}", header(head, "X-Attempt"));
@@ -107,6 +125,17 @@
         return !closes && !resets;
     }
 
+    private void respondEndlessly(Socket socket, String script) throws IOException {
+        int separator = script.indexOf(ENDLESS);
+        socket.getOutputStream().write(script.substring(0, separator).getBytes(StandardCharsets.ISO_8859_1));
+        String repeated = script.substring(separator + ENDLESS.length());
+        byte[] block = repeated.repeat(ENDLESS_BLOCK_BYTES / repeated.length()).getBytes(StandardCharsets.ISO_8859_1);
+        for (int written = 0; written < MAXIMUM_ENDLESS_BYTES; written += block.length) {
+            socket.getOutputStream().write(block);
+            endlessBytes.addAndGet(block.length);
+        }
+    }
+
     /** Gives the relay time to read the response, as a reset discards unread bytes. */
     private static void delayReset() {
         try {
