A response without an attempt id is not taken for that of a later request on a connection

Cause: a response without the id was taken as the awaited one. A faulty engine may send a second response late; on a kept connection it arrives where the next response is expected.

Change: on a reused connection a response without the id closes the connection and fails the request as broken. Only requests that may be repeated use kept connections. On a new connection nothing earlier can be pending.

Evidence: doesNotTakeAResponseWithoutAnIdForThatOfTheSecondRequestOnAConnection failed before (the caller got 'wrong').

--- a/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
@@ -19,7 +19,8 @@
 
 /**
  * A connection to an endpoint, without pipelining. Bytes that arrive while no response is pending close the connection;
- * a response that carries the attempt id of another request is skipped.
+ * a response that carries the attempt id of another request is skipped. A response without an attempt id is accepted
+ * only for the first request, as it may be a late second response to an earlier one.
  */
 @SuppressWarnings("FutureReturnValueIgnored")
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
@@ -42,6 +43,7 @@
     private int skippedResponses;
     private long skippedBytes;
     private boolean reusable;
+    private boolean reused;
     private boolean hasFailed;
     private String closeCause = "connection closed";
     private long idleSinceNanos;
@@ -125,6 +127,10 @@
             failAndClose("the endpoint sent an invalid HTTP response");
             return;
         }
+        if (message instanceof HttpResponse head && reused && !isIdentified(head)) {
+            failAndClose("the endpoint sent a response without an attempt id on a reused connection");
+            return;
+        }
         if (message instanceof HttpResponse head) {
             readHead(head);
         }
@@ -154,6 +160,11 @@
         }
     }
 
+    /** A provisional response needs no id, as it is skipped. */
+    private boolean isIdentified(HttpResponse head) {
+        return head.headers().contains(attemptIdHeader) || head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    }
+
     private void readHead(HttpResponse head) {
         String echoed = head.headers().get(attemptIdHeader);
         skippingResponse = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
@@ -177,6 +188,7 @@
         Optional<ResponseListener> current = listener;
         listener = Optional.empty();
         if (reusable && requestFlushed) {
+            reused = true;
             onReusable.accept(this);
         } else {
             context.close();
--- a/relay/src/test/java/org/cowslippick/relay/RelayTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayTest.java
@@ -87,6 +87,18 @@
         }
     }
 
+    @Test
+    void doesNotTakeAResponseWithoutAnIdForThatOfTheSecondRequestOnAConnection() throws Exception {
+        String late = "HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Length: 5\r\n\r\nwrong";
+        try (ScriptedEngine engine = new ScriptedEngine(OK, late + OK, OK);
+                RelayHarness relay = new RelayHarness(engine)) {
+            assertTrue(relay.call("GET", "/look/1", "", "").endsWith("body"));
+            String response = relay.call("GET", "/look/2", "", "");
+            assertFalse(response.contains("wrong"), response);
+            assertEquals(2, engine.requests().size());
+        }
+    }
+
     @Test
     void doesNotForwardASuccessWithoutASeal() throws Exception {
         String unsealed = "HTTP/1.1 200 OK\r\nX-Attempt: {id}\r\nContent-Length: 4\r\n\r\nbody";
