Request log: the shared parts of the prompt

Cause: the logs could not tell whether the requests that crash engines have a part of their prompts in common. Change: the request line has the field sharedParts, the ids of all parts but the last (at most 16, of 64 characters at most).

--- a/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
@@ -266,6 +266,7 @@
                         .with("remainingMs", request.remainingMilliseconds().orElse(-1L))
                         .with("targetMs", admission.route().target().toMillis())
                         .with("promptTokens", request.promptTokens())
+                        .with("sharedParts", String.join(",", request.sharedParts()))
                         .with("sentTo", String.join(",", triedEndpoints))
                         .with("cause", cause)
                         .with("waitedMs", milliseconds(grantedAtNanos))
--- a/relay/src/main/java/org/cowslippick/relay/message/CallerRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/message/CallerRequest.java
@@ -1,5 +1,6 @@
 package org.cowslippick.relay.message;
 
+import com.google.common.collect.ImmutableList;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
@@ -14,6 +15,7 @@
  * @param path without the query
  * @param fingerprint equal for all attempts of a caller at the same request
  * @param remainingMilliseconds how long the caller still waits, if stated
+ * @param sharedParts ids of the parts of the prompt that other requests may share, in the order of the prompt
  * @param declaredTokens sum of prompt and answer tokens, -1 if not stated
  */
 public record CallerRequest(
@@ -27,6 +29,7 @@
         Optional<String> credential,
         long fingerprint,
         Optional<Long> remainingMilliseconds,
+        ImmutableList<String> sharedParts,
         long promptTokens,
         long answerTokens,
         long declaredTokens,
--- a/relay/src/main/java/org/cowslippick/relay/message/HeaderNames.java
+++ b/relay/src/main/java/org/cowslippick/relay/message/HeaderNames.java
@@ -13,6 +13,7 @@
  * @param seal the endpoint's proof that it produced the response
  * @param notRun marks the response to a request that the endpoint did not execute
  * @param tokenCounts number of prompt tokens and maximum number of answer tokens
+ * @param promptParts the parts of the prompt in order, as comma-separated {@code id:tokens}; the last is not shared
  * @param lengthHint the caller's estimate of the answer tokens
  * @param lastEvent id of the event after which a stream is resumed
  * @param reservedHeaders headers that only the relay may set; they are removed from callers' requests
@@ -26,6 +27,7 @@
         String seal,
         String notRun,
         String tokenCounts,
+        String promptParts,
         String lengthHint,
         String lastEvent,
         ImmutableSet<String> reservedHeaders) {}
--- a/relay/src/main/java/org/cowslippick/relay/message/RequestReader.java
+++ b/relay/src/main/java/org/cowslippick/relay/message/RequestReader.java
@@ -1,6 +1,7 @@
 package org.cowslippick.relay.message;
 
 import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.hash.HashFunction;
 import com.google.common.hash.Hasher;
@@ -31,6 +32,11 @@
             HttpHeaderNames.EXPECT.toString(),
             HttpHeaderNames.CONTENT_LENGTH.toString());
 
+    /** Parts beyond this number, and ids longer than the maximum, are not used for decisions. */
+    private static final int MAXIMUM_SHARED_PARTS = 16;
+
+    private static final int MAXIMUM_PART_ID_CHARACTERS = 64;
+
     /** The HTTP decoder has validated names and values already. */
     private static final DefaultHttpHeadersFactory UNVALIDATED_HEADERS =
             DefaultHttpHeadersFactory.headersFactory().withValidation(false);
@@ -66,12 +72,28 @@
                 Optional.ofNullable(headers.get(names.credential())),
                 fingerprint(head, body),
                 Optional.ofNullable(headers.get(names.remainingTime())).map(Longs::tryParse),
+                sharedParts(headers.get(names.promptParts(), "")),
                 prompt,
                 Math.min(hint, maximumOutput),
                 tokens.isEmpty() ? -1 : prompt + maximumOutput,
                 nowNanos);
     }
 
+    private static ImmutableList<String> sharedParts(String promptParts) {
+        List<String> parts = COMMA_SPLITTER.splitToList(promptParts);
+        return parts.stream()
+                .limit(Math.max(0, parts.size() - 1))
+                .map(RequestReader::partId)
+                .filter(id -> !id.isEmpty() && id.length() <= MAXIMUM_PART_ID_CHARACTERS)
+                .limit(MAXIMUM_SHARED_PARTS)
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private static String partId(String part) {
+        int colon = part.indexOf(':');
+        return colon < 0 ? part : part.substring(0, colon);
+    }
+
     private long fingerprint(HttpRequest head, ByteBuf body) {
         Hasher hasher = FINGERPRINT_HASH
                 .newHasher()
--- a/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
@@ -59,6 +59,7 @@
             "X-Seal",
             "X-Not-Run",
             "X-Tokens",
+            "X-Parts",
             "X-Hint",
             "X-Last-Event",
             ImmutableSet.of("X-Organisation", "X-Expect", "X-Hold"));
