--- a/relay/src/test/java/org/cowslippick/relay/ScriptedEngine.java
+++ b/relay/src/test/java/org/cowslippick/relay/ScriptedEngine.java
@@ -26,6 +26,12 @@
     /** Separates a response from bytes that follow it repeatedly until the relay closes the connection. */
     static final String ENDLESS = "<endless>";
 
+    /** Gives the relay time to read the response, as a reset discards unread bytes. */
+    private static final long RESET_DELAY_MILLISECONDS = 50;
+
+    /** The time to process a prompt before the answer begins. */
+    private static final long CRASH_DELAY_MILLISECONDS = 350;
+
     /** Far more than the relay may read of one response. */
     private static final int MAXIMUM_ENDLESS_BYTES = 256 << 20;
 
@@ -35,9 +41,12 @@
     private final LinkedBlockingQueue<String> responses = new LinkedBlockingQueue<>();
     private final LinkedBlockingQueue<String> continuations = new LinkedBlockingQueue<>();
     private final List<String> requests = new CopyOnWriteArrayList<>();
+    private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final AtomicInteger closedByRelay = new AtomicInteger();
     private final AtomicInteger endlessBytes = new AtomicInteger();
 
+    private volatile String crashText = "";
+
     ScriptedEngine(String... script) throws IOException {
         this.serverSocket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         responses.addAll(List.of(script));
@@ -52,6 +61,12 @@
         return this;
     }
 
+    /** Makes the engine crash when it begins to answer a request whose head contains the text. */
+    ScriptedEngine withCrashOn(String text) {
+        crashText = text;
+        return this;
+    }
+
     HostAndPort address() {
         return HostAndPort.fromParts("127.0.0.1", serverSocket.getLocalPort());
     }
@@ -79,6 +94,7 @@
         try {
             while (!serverSocket.isClosed()) {
                 Socket socket = serverSocket.accept();
+                sockets.add(socket);
                 Thread thread = new Thread(() -> serve(socket), "engine-connection");
                 thread.setDaemon(true);
                 thread.start();
@@ -105,6 +121,10 @@
     }
 
     private boolean respond(Socket socket, String head) throws IOException {
+        if (!crashText.isEmpty() && head.contains(crashText)) {
+            crash();
+            return false;
+        }
         String script = header(head, "X-Last-Event").isEmpty() ? responses.poll() : continuations.poll();
         if (script == null) {
             return true;
@@ -119,12 +139,20 @@
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         socket.getOutputStream().flush();
         if (resets) {
-            delayReset();
+            delay(RESET_DELAY_MILLISECONDS);
             socket.setSoLinger(true, 0);
         }
         return !closes && !resets;
     }
 
+    private void crash() throws IOException {
+        delay(CRASH_DELAY_MILLISECONDS);
+        serverSocket.close();
+        for (Socket open : sockets) {
+            open.close();
+        }
+    }
+
     private void respondEndlessly(Socket socket, String script) throws IOException {
         int separator = script.indexOf(ENDLESS);
         socket.getOutputStream().write(script.substring(0, separator).getBytes(StandardCharsets.ISO_8859_1));
@@ -136,10 +164,9 @@
         }
     }
 
-    /** Gives the relay time to read the response, as a reset discards unread bytes. */
-    private static void delayReset() {
+    private static void delay(long milliseconds) {
         try {
-            Thread.sleep(50);
+            Thread.sleep(milliseconds);
         } catch (InterruptedException interrupted) {
             throw new UncheckedIOException(new IOException(interrupted));
         }
