Requests with contents that crash endpoints are refused

Cause: on the operators' platform nothing connected a crash with the contents of the requests that the endpoint ran. Ruled out: retries of the relay (each request was sent once); knowledge that one instance kept to itself (there was none). Change: when a connection breaks before the answer begins and the endpoint refuses a new one, each such request leaves a record with the parts of its prompt and its fingerprint. An answer that begins clears its contents from all records. A content in records of three separate occasions is quarantined, the most specific one first, so that parts shared with sound requests stay allowed. Records only lose suspects, so instances merge them in any order; changes are pushed along the paths of reports, digests repair what was lost. QUARANTINED is 503 with a retry-after now: the content may prove sound.

--- a/core/src/main/java/org/cowslippick/core/error/ErrorKind.java
+++ b/core/src/main/java/org/cowslippick/core/error/ErrorKind.java
@@ -14,7 +14,8 @@
     UNKNOWN_PATH(404, Outcome.NOT_RUN, Advice.CORRECT, "No such path or method."),
     BODY_TOO_LARGE(413, Outcome.NOT_RUN, Advice.CORRECT, "The body is over the size limit."),
     CALLER_TOO_SLOW(408, Outcome.NOT_RUN, Advice.RETRY, "The body did not arrive in time."),
-    QUARANTINED(422, Outcome.NOT_RUN, Advice.CORRECT, "Endpoints crashed while running a request with this content."),
+    QUARANTINED(
+            503, Outcome.NOT_RUN, Advice.RETRY_LATER, "Endpoints crashed while running a request with this content."),
     LIMIT_EXCEEDED(429, Outcome.NOT_RUN, Advice.RETRY_LATER, "A rate or concurrency limit is used up."),
     SHED(503, Outcome.NOT_RUN, Advice.RETRY_LATER, "The queue was full and this was the lowest tier in it."),
     DEADLINE_UNREACHABLE(503, Outcome.NOT_RUN, Advice.RETRY_LATER, "The predicted answer time is after the deadline."),
--- a/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnections.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnections.java
@@ -4,6 +4,8 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -15,6 +17,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.time.TimerService;
 import org.cowslippick.relay.message.SocketOptions;
@@ -60,6 +63,24 @@
         return handle;
     }
 
+    /** Opens a connection to an endpoint, sends nothing and closes it. */
+    public void probe(HostAndPort address, Consumer<ProbeResult> listener) {
+        ChannelFuture connecting =
+                bootstrap(new ChannelInboundHandlerAdapter()).connect(address.getHost(), address.getPort());
+        connecting.addListener(_done -> {
+            connecting.channel().close();
+            listener.accept(connecting.isSuccess() ? ProbeResult.ACCEPTED : ProbeResult.ofFailure(connecting.cause()));
+        });
+    }
+
+    private Bootstrap bootstrap(ChannelHandler handler) {
+        return new Bootstrap()
+                .group(loops)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
+                .handler(handler);
+    }
+
     private Optional<EndpointConnection> acquireIdle(HostAndPort address) {
         Deque<EndpointConnection> pool = idle.getOrDefault(address, new ArrayDeque<>());
         long now = timer.nanoTime();
@@ -77,11 +98,7 @@
         ResponseDecoder decoder = new ResponseDecoder();
         EndpointConnection connection =
                 new EndpointConnection(attemptIdHeader, decoder, finished -> release(address, finished));
-        ChannelFuture connecting = new Bootstrap()
-                .group(loops)
-                .channel(NioSocketChannel.class)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
-                .handler(new ChannelInitializer<>() {
+        ChannelFuture connecting = bootstrap(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         SocketOptions.apply(channel);
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
@@ -1,5 +1,6 @@
 package org.cowslippick.relay.forwarding;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -25,6 +26,7 @@
 import org.cowslippick.core.time.TimerService.Subscription;
 import org.cowslippick.relay.caller.CallerExchange;
 import org.cowslippick.relay.caller.CallerListener;
+import org.cowslippick.relay.crash.QuarantinedContent;
 import org.cowslippick.relay.endpoint.Dispatch;
 import org.cowslippick.relay.endpoint.EndpointConnections;
 import org.cowslippick.relay.endpoint.ResponseListener;
@@ -52,6 +54,9 @@
      */
     private static final double RETRY_WAIT_PER_TIMEOUT = 0.5;
 
+    /** Parts of a stream after which an endpoint has survived the beginning of its answer. */
+    private static final int ANSWERED_CHUNKS = 2;
+
     private static final int MAXIMUM_BUFFERED_RESPONSE_BYTES = 1 << 20;
     private static final Duration RETRY_AFTER_REFUSAL = Duration.ofMillis(100);
 
@@ -59,6 +64,7 @@
     private final CallerRequest request;
     private final CallerExchange exchange;
     private final Admission admission;
+    private final ImmutableList<String> contents;
     private final long expiresAtNanos;
     private final Set<String> triedEndpoints = new HashSet<>();
     private final EventScanner events = new EventScanner();
@@ -80,13 +86,16 @@
         this.request = request;
         this.exchange = exchange;
         this.admission = admission;
+        this.contents = request.contents();
         this.expiresAtNanos =
                 request.arrivedAtNanos() + admission.timeout(request).toNanos();
     }
 
     void start() {
         expiry = Optional.of(context.timer().schedule(Duration.ofNanos(expiresAtNanos - now()), this::expired));
-        requestSlot();
+        if (!failIfQuarantined()) {
+            requestSlot();
+        }
     }
 
     @Override
@@ -102,6 +111,10 @@
     @Override
     public void granted(SlotDecision.Granted grant) {
         waitingForSlot = false;
+        if (failIfQuarantined()) {
+            context.slots().release(grant.request().key(), AnswerOutcome.SOUND);
+            return;
+        }
         grantedAtNanos = now();
         Attempt newAttempt = new Attempt(grant.endpoint(), grant.request().key());
         attempt = Optional.of(newAttempt);
@@ -122,6 +135,16 @@
         fail(kind, Duration.ofNanos(refusal.retryAfterNanos()));
     }
 
+    /** Ends the request if its content became known to crash endpoints since the last check. */
+    private boolean failIfQuarantined() {
+        Optional<QuarantinedContent> found = context.crashes().quarantined(admission.service(), contents);
+        found.ifPresent(quarantined -> {
+            cause = "endpoints crashed while running requests with " + quarantined.content();
+            fail(ErrorKind.QUARANTINED, quarantined.remaining());
+        });
+        return found.isPresent();
+    }
+
     private void requestSlot() {
         SlotKey next = context.slots().nextKey();
         key = Optional.of(next);
@@ -293,7 +316,11 @@
         boolean hasEndpointsLeft = triedEndpoints.size() < admission.route().maximumEndpoints();
         boolean mayRetry = !mayHaveRun || admission.route().allowsRetryAfterStart();
         boolean hasTimeLeft = expiresAtNanos - now() > 0;
-        if (mayRetry && hasEndpointsLeft && hasTimeLeft && context.retries().tryAcquireRetry(admission.service())) {
+        boolean isRetried = mayRetry && hasEndpointsLeft && hasTimeLeft;
+        if (isRetried && failIfQuarantined()) {
+            return;
+        }
+        if (isRetried && context.retries().tryAcquireRetry(admission.service())) {
             requestSlot();
         } else {
             fail(notRunKind, RETRY_AFTER_REFUSAL);
@@ -310,6 +337,8 @@
         private boolean released;
         private boolean mayHaveRunEarlier;
         private boolean streaming;
+        private int chunks;
+        private boolean answered;
 
         Attempt(LiveEndpoint endpoint, SlotKey slot) {
             this.endpoint = endpoint;
@@ -369,6 +398,9 @@
         @Override
         public void failed(String reason) {
             cause = reason;
+            if (!answered) {
+                context.crashes().requestBroken(endpoint, contents);
+            }
             events.discardPartialEvent();
             release(AnswerOutcome.BROKEN);
             retryOrFail(ErrorKind.ENDPOINT_REFUSED);
@@ -406,6 +438,10 @@
                 exchange.startResponse(received.status(), RequestReader.responseHeaders(received.headers()));
             }
             recordPause();
+            chunks++;
+            if (chunks == ANSWERED_CHUNKS) {
+                recordAnswered();
+            }
             context.slots().responseStarted(slot);
             exchange.sendChunk(Unpooled.wrappedBuffer(complete));
         }
@@ -418,12 +454,21 @@
             lastChunkAtNanos = at;
         }
 
+        /** Records that the endpoint did not crash when it began to answer. */
+        private void recordAnswered() {
+            if (!answered) {
+                answered = true;
+                context.crashes().answered(endpoint.service(), contents);
+            }
+        }
+
         private void completeStream() {
             handle = Optional.empty();
             if (events.hasPartialEvent() || !responseStarted) {
                 failed("the stream ended within an event");
                 return;
             }
+            recordAnswered();
             release(AnswerOutcome.SOUND);
             exchange.endResponse();
             finish("answered", head.orElseThrow().status().code(), Optional.empty());
@@ -435,6 +480,7 @@
                 handleRefusal(received.status());
                 return;
             }
+            recordAnswered();
             boolean isSuccess = received.status().codeClass() == HttpStatusClass.SUCCESS;
             if (isSuccess && !hasSeal(received)) {
                 failed("a successful response without the endpoint's seal");
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardingContext.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardingContext.java
@@ -3,6 +3,7 @@
 import java.util.function.Supplier;
 import org.cowslippick.core.routing.RoutingTable;
 import org.cowslippick.core.time.TimerService;
+import org.cowslippick.relay.crash.CrashDetector;
 import org.cowslippick.relay.endpoint.EndpointConnections;
 import org.cowslippick.relay.message.HeaderNames;
 import org.cowslippick.relay.slot.SlotBroker;
@@ -14,5 +15,6 @@
         Supplier<RoutingTable> routing,
         SlotBroker slots,
         EndpointConnections connections,
+        CrashDetector crashes,
         QuotaLimiter quotas,
         RetryBudget retries) {}
--- a/relay/src/main/java/org/cowslippick/relay/message/CallerRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/message/CallerRequest.java
@@ -33,4 +33,13 @@
         long promptTokens,
         long answerTokens,
         long declaredTokens,
-        long arrivedAtNanos) {}
+        long arrivedAtNanos) {
+
+    /** What an endpoint's crash may be due to, from the first part of the prompt to the request itself. */
+    public ImmutableList<String> contents() {
+        return ImmutableList.<String>builder()
+                .addAll(sharedParts)
+                .add("request:" + Long.toHexString(fingerprint))
+                .build();
+    }
+}
--- a/relay/src/main/java/org/cowslippick/relay/peer/FleetMembership.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/FleetMembership.java
@@ -72,6 +72,7 @@
     private Runnable onMembersChanged = () -> {};
     private ImmutableMap<OrganisationName, Long> ownReportedUsage = ImmutableMap.of();
     private ImmutableMap<OrganisationName, Long> ownDiscountedUsage = ImmutableMap.of();
+    private ImmutableSet<InstanceName> reportReceivers = ImmutableSet.of();
     private boolean usesCollectors;
     private boolean isCollector = true;
     private volatile ImmutableSet<InstanceName> live = ImmutableSet.of();
@@ -140,6 +141,16 @@
                 .build();
     }
 
+    /** The instances that this one reports to; empty until the first report. */
+    ImmutableSet<InstanceName> reportReceivers() {
+        return reportReceivers;
+    }
+
+    /** Whether others learn the state of their peers through this instance. */
+    boolean forwardsState() {
+        return usesCollectors && isCollector;
+    }
+
     /** The load of a pool as last reported by its owner. */
     Optional<PoolLoad> load(SlotPool pool) {
         return Optional.ofNullable(loads.get(pool));
@@ -158,14 +169,20 @@
         usesCollectors = others.size() > MAXIMUM_DIRECT_PEERS;
         InstanceReport report = report();
         ImmutableList<Instance> localCollectors = localCollectors();
-        network.ifPresent(peers -> (usesCollectors ? localCollectors : others)
-                .stream()
-                        .filter(instance -> !isSelf(instance))
-                        .forEach(instance -> peers.send(instance.name(), report)));
+        ImmutableSet<InstanceName> receivers = names(usesCollectors ? localCollectors : others);
+        network.ifPresent(peers -> receivers.forEach(receiver -> peers.send(receiver, report)));
         ownReportedUsage = usage(report);
         setCollector(!usesCollectors || localCollectors.stream().anyMatch(this::isSelf) || stateSynchroniser.isStuck());
-        if (usesCollectors && isCollector) {
-            reportRegion(report);
+        reportReceivers = receivers;
+        if (forwardsState()) {
+            ImmutableSet<InstanceName> members = regionMembers();
+            ImmutableSet<InstanceName> collectors = remoteCollectors();
+            reportRegion(report, members, collectors);
+            reportReceivers = ImmutableSet.<InstanceName>builder()
+                    .addAll(receivers)
+                    .addAll(members)
+                    .addAll(collectors)
+                    .build();
         }
         refresh(others);
         stateSynchroniser.compare(versions());
@@ -193,7 +210,8 @@
     }
 
     /** Sends the aggregated report of the region to its members and to the collectors of other regions. */
-    private void reportRegion(InstanceReport own) {
+    private void reportRegion(
+            InstanceReport own, ImmutableSet<InstanceName> localMembers, ImmutableSet<InstanceName> collectors) {
         long now = timer.nanoTime();
         ImmutableMap<RegionReport.Member, InstanceReport> members = recentReports(now)
                 .collect(ImmutableMap.toImmutableMap(
@@ -201,7 +219,6 @@
                                 entry.identity().name(), entry.report().serving()),
                         ReceivedReport::report));
         RegionReport region = aggregator.report(stateSynchroniser.versions(), own, members);
-        Region localRegion = instances.self().region();
         FleetReport localReport = new FleetReport(
                 stateSynchroniser.isStoreUnavailable(),
                 ImmutableList.<RegionReport>builder()
@@ -210,20 +227,36 @@
                         .build());
         otherRegions.clear();
         FleetReport remoteReport = new FleetReport(stateSynchroniser.isStoreUnavailable(), ImmutableList.of(region));
-        ImmutableList<Instance> all = instances.all();
         network.ifPresent(peers -> {
-            all.stream()
-                    .filter(instance -> instance.region().equals(localRegion) && !isSelf(instance))
-                    .forEach(instance -> peers.send(instance.name(), localReport));
-            all.stream()
-                    .map(Instance::region)
-                    .distinct()
-                    .filter(other -> !other.equals(localRegion))
-                    .flatMap(other -> collectorSelector.select(all, other, now).stream())
-                    .forEach(instance -> peers.send(instance.name(), remoteReport));
+            localMembers.forEach(member -> peers.send(member, localReport));
+            collectors.forEach(collector -> peers.send(collector, remoteReport));
         });
     }
 
+    private ImmutableSet<InstanceName> regionMembers() {
+        return names(instances.all().stream()
+                .filter(instance -> instance.region().equals(instances.self().region()))
+                .collect(ImmutableList.toImmutableList()));
+    }
+
+    private ImmutableSet<InstanceName> remoteCollectors() {
+        ImmutableList<Instance> all = instances.all();
+        return names(all.stream()
+                .map(Instance::region)
+                .distinct()
+                .filter(other -> !other.equals(instances.self().region()))
+                .flatMap(other -> collectorSelector.select(all, other, timer.nanoTime()).stream())
+                .collect(ImmutableList.toImmutableList()));
+    }
+
+    /** The names of the given instances without this one. */
+    private ImmutableSet<InstanceName> names(ImmutableList<Instance> given) {
+        return given.stream()
+                .filter(instance -> !isSelf(instance))
+                .map(Instance::name)
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
     private ImmutableMap<InstanceName, StateVersions> versions() {
         long now = timer.nanoTime();
         Map<InstanceName, StateVersions> known = new HashMap<>(views.versions(now));
--- a/relay/src/main/java/org/cowslippick/relay/peer/FleetSlotBroker.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/FleetSlotBroker.java
@@ -42,6 +42,7 @@
             .addAll(StateSyncMessages.types())
             .add(InstanceReport.TYPE)
             .add(FleetReport.TYPE)
+            .add(CrashEvidence.TYPE)
             .build();
 
     private static final Logger LOGGER = Logger.getLogger("cowslippick.slots");
--- a/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
@@ -24,12 +24,14 @@
 import org.cowslippick.core.routing.ServiceShare;
 import org.cowslippick.core.time.TimerService;
 import org.cowslippick.core.world.FailureDomain;
+import org.cowslippick.core.world.Incarnation;
 import org.cowslippick.core.world.InstanceName;
 import org.cowslippick.core.world.OrganisationName;
 import org.cowslippick.core.world.Region;
 import org.cowslippick.core.world.ServiceName;
 import org.cowslippick.relay.caller.CallerConnections;
 import org.cowslippick.relay.caller.CallerServer;
+import org.cowslippick.relay.crash.CrashDetector;
 import org.cowslippick.relay.endpoint.EndpointConnections;
 import org.cowslippick.relay.forwarding.ForwardingContext;
 import org.cowslippick.relay.forwarding.RequestForwarder;
@@ -78,12 +80,14 @@
     RelayHarness(ScriptedEngine... engines) throws IOException, InterruptedException {
         TimerService timer = new EventLoopTimerService(loops.next());
         LocalSlotQueues localQueues = new LocalSlotQueues(timer);
+        EndpointConnections connections = new EndpointConnections(loops, timer, NAMES.attemptId());
         RequestForwarder forwarder = new RequestForwarder(new ForwardingContext(
                 timer,
                 NAMES,
                 RelayHarness::table,
                 new SinglePoolBroker(localQueues),
-                new EndpointConnections(loops, timer, NAMES.attemptId()),
+                connections,
+                new CrashDetector(new InstanceName("front-1"), new Incarnation(1), timer, connections::probe),
                 new SharedQuotas(timer, new QuotaTolerance(Duration.ofSeconds(8), 0.1, 0)),
                 new SharedRetryBudget(0.2, 50)));
         this.callers = new CallerConnections(() -> table().limits(), timer, new RequestReader(NAMES), forwarder);
--- a/relay/src/test/java/org/cowslippick/relay/peer/FleetMembershipTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/peer/FleetMembershipTest.java
@@ -22,6 +22,8 @@
 import org.cowslippick.core.world.OrganisationName;
 import org.cowslippick.core.world.Region;
 import org.cowslippick.core.world.ServiceName;
+import org.cowslippick.relay.crash.CrashDetector;
+import org.cowslippick.relay.endpoint.ProbeResult;
 import org.cowslippick.relay.limit.QuotaTolerance;
 import org.cowslippick.relay.limit.SharedQuotas;
 import org.cowslippick.relay.slot.LocalSlotQueues;
@@ -48,6 +50,9 @@
             false,
             5);
 
+    private static final ServiceName SERVICE = new ServiceName("model");
+    private static final ImmutableList<String> CONTENT = ImmutableList.of("harmful");
+
     private final ManualTimerService timer = new ManualTimerService();
     private final InMemoryNetwork network = new InMemoryNetwork();
     private final ImmutableList<Node> nodes =
@@ -178,6 +183,76 @@
         });
     }
 
+    @Test
+    void crashesSeenByMembersOfBothRegionsQuarantineTheirContentOnAllInstances() {
+        timer.advance(Duration.ofSeconds(3));
+        crashSeenBy(INSTANCES - 1, INSTANCES - 2, INSTANCES - 3);
+        timer.advance(Duration.ofSeconds(1));
+        assertEquals(ImmutableList.of(), nodesWithoutQuarantine());
+    }
+
+    @Test
+    void quarantineSurvivesTheInstancesThatSawTheCrashesAndReachesRestartedOnes() {
+        timer.advance(Duration.ofSeconds(3));
+        crashSeenBy(INSTANCES - 1, INSTANCES - 2, INSTANCES - 3);
+        timer.advance(Duration.ofSeconds(1));
+        IntStream.range(INSTANCES - 3, INSTANCES)
+                .forEach(number -> nodes.get(number).stop());
+        readers().forEach(number -> nodes.get(number).restartCrashDetection());
+        timer.advance(Duration.ofSeconds(2));
+        assertEquals(
+                ImmutableList.of(),
+                nodesWithoutQuarantine().stream()
+                        .filter(number -> number < INSTANCES - 3)
+                        .collect(ImmutableList.toImmutableList()));
+    }
+
+    @Test
+    void instanceThatWasCutOffLearnsOfTheQuarantineAfterwards() {
+        timer.advance(Duration.ofSeconds(3));
+        Node cutOff = nodes.get(INSTANCES - 4);
+        cutOff.stop();
+        crashSeenBy(INSTANCES - 1, INSTANCES - 2, INSTANCES - 3);
+        timer.advance(Duration.ofSeconds(4));
+        assertTrue(cutOff.detector.quarantined(SERVICE, CONTENT).isEmpty());
+        network.reconnect(cutOff.instances.self().name());
+        timer.advance(Duration.ofSeconds(2));
+        assertEquals(ImmutableList.of(), nodesWithoutQuarantine());
+    }
+
+    @Test
+    void answerSeenByOneInstanceEndsTheQuarantineOnAll() {
+        timer.advance(Duration.ofSeconds(3));
+        crashSeenBy(INSTANCES - 1, INSTANCES - 2, INSTANCES - 3);
+        timer.advance(Duration.ofSeconds(1));
+        nodes.get(INSTANCES - 5).detector.answered(SERVICE, CONTENT);
+        timer.advance(Duration.ofSeconds(1));
+        assertEquals(INSTANCES, nodesWithoutQuarantine().size());
+    }
+
+    @Test
+    void noMessagesAboutCrashesAreSentWithoutAny() {
+        timer.advance(Duration.ofSeconds(10));
+        assertEquals(0, network.count(CrashEvidence.class));
+    }
+
+    private void crashSeenBy(int... observers) {
+        for (int number : observers) {
+            LiveEndpoint crashed = new LiveEndpoint(
+                    "engine-" + number, SERVICE, ENGINE.address(), ENGINE.failureDomain(), 4, false, 5);
+            nodes.get(number).detector.requestBroken(crashed, CONTENT);
+            timer.advance(Duration.ofSeconds(1));
+        }
+    }
+
+    private ImmutableList<Integer> nodesWithoutQuarantine() {
+        return IntStream.range(0, INSTANCES)
+                .filter(number ->
+                        nodes.get(number).detector.quarantined(SERVICE, CONTENT).isEmpty())
+                .boxed()
+                .collect(ImmutableList.toImmutableList());
+    }
+
     private ImmutableList<Integer> readers() {
         return IntStream.range(0, INSTANCES)
                 .filter(number -> nodes.get(number).readsStore)
@@ -192,6 +267,7 @@
         private final EndpointDirectory endpoints;
         private final FleetMembership fleet;
         private final RoutingState routing = new RoutingState();
+        private CrashDetector detector;
         private boolean readsStore = true;
         private boolean isStoreReachable = true;
 
@@ -222,6 +298,18 @@
         void start() {
             endpoints.replace(ImmutableList.of(), 1);
             fleet.start(network.join(instances.self().name()), _pool -> true, () -> {});
+            restartCrashDetection();
+        }
+
+        /** Replaces the crash detector by one that knows nothing, as after a restart of the process. */
+        void restartCrashDetection() {
+            detector = new CrashDetector(
+                    instances.self().name(),
+                    new Incarnation(1),
+                    timer,
+                    (_address, listener) -> listener.accept(ProbeResult.REFUSED));
+            new CrashSynchroniser(
+                    fleet, detector, timer, network.join(instances.self().name()));
         }
 
         void configure(long version) {
--- a/relay/src/test/java/org/cowslippick/relay/peer/InMemoryNetwork.java
+++ b/relay/src/test/java/org/cowslippick/relay/peer/InMemoryNetwork.java
@@ -39,6 +39,11 @@
         isolated.add(name);
     }
 
+    /** Ends the isolation of the instance. */
+    void reconnect(InstanceName name) {
+        isolated.remove(name);
+    }
+
     long count(Class<? extends PeerMessage> type) {
         return sent.stream().filter(type::isInstance).count();
     }
