Endpoints get no more requests than the rate limit that they name

Cause: Server-Limit was not read anywhere, so the queue that grants slots knew slots only. Ruled out: a second owner or bypassed owner (no owner-silent line in the record). Change: responses report the limit to the owner of the pool, which grants within a token bucket per endpoint. An instance that does not consider itself the owner uses no limited endpoint. A grant tells what its owner knows; an instance that knows a newer limit returns it and tells the owner, so a new owner cannot overfill an endpoint unaware. The timeout of a slot request is scheduled before it is sent, so that an immediate grant cancels it. Waits, retry-after delays and reported loads follow.

--- a/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.primitives.Doubles;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -35,9 +36,11 @@
 import org.cowslippick.relay.message.RequestReader;
 import org.cowslippick.relay.slot.SlotListener;
 import org.cowslippick.scheduler.slot.AnswerOutcome;
+import org.cowslippick.scheduler.slot.EndpointRateLimit;
 import org.cowslippick.scheduler.slot.SlotDecision;
 import org.cowslippick.scheduler.slot.SlotKey;
 import org.cowslippick.scheduler.slot.SlotRequest;
+import org.jboss.logging.Logger;
 
 /**
  * A request from its arrival to the end of its response. A request that may have run is retried only if its route
@@ -45,6 +48,8 @@
  */
 final class ForwardedRequest implements CallerListener, SlotListener {
 
+    private static final Logger LOGGER = Logger.getLogger("cowslippick.request");
+
     /** Queueing time of a first attempt, as a multiple of the target, before the caller is told to retry later. */
     private static final double FIRST_WAIT_PER_TARGET = 1.25;
 
@@ -116,7 +121,7 @@
             return;
         }
         grantedAtNanos = now();
-        Attempt newAttempt = new Attempt(grant.endpoint(), grant.request().key());
+        Attempt newAttempt = new Attempt(grant);
         attempt = Optional.of(newAttempt);
         triedEndpoints.add(grant.endpoint().id());
         newAttempt.handle =
@@ -331,6 +336,7 @@
     private final class Attempt implements ResponseListener {
         private final LiveEndpoint endpoint;
         private final SlotKey slot;
+        private final boolean grantedUnderRateLimit;
         private Optional<EndpointConnections.Handle> handle = Optional.empty();
         private final ByteArrayOutputStream bufferedBody = new ByteArrayOutputStream();
         private Optional<HttpResponse> head = Optional.empty();
@@ -340,9 +346,11 @@
         private int chunks;
         private boolean answered;
 
-        Attempt(LiveEndpoint endpoint, SlotKey slot) {
-            this.endpoint = endpoint;
-            this.slot = slot;
+        Attempt(SlotDecision.Granted grant) {
+            this.endpoint = grant.endpoint();
+            this.slot = grant.request().key();
+            this.grantedUnderRateLimit =
+                    grant.rateLimit().filter(EndpointRateLimit::isLimited).isPresent();
         }
 
         @Override
@@ -367,10 +375,31 @@
         @Override
         public void headReceived(HttpResponse received) {
             head = Optional.of(received);
+            reportRateLimit(received);
             streaming = admission.route().kind() == RouteKind.EVENT_STREAM
                     && received.status().codeClass() == HttpStatusClass.SUCCESS;
         }
 
+        /** A response without a limit ends one only if the limit was known before the request was sent. */
+        private void reportRateLimit(HttpResponse received) {
+            String text = received.headers().get(context.names().rateLimit());
+            if (text == null) {
+                if (grantedUnderRateLimit) {
+                    context.slots().reportRateLimit(endpoint, Optional.empty());
+                }
+                return;
+            }
+            Optional<Double> named = Optional.ofNullable(Doubles.tryParse(text.strip()))
+                    .filter(rate -> Double.isFinite(rate) && rate >= 0);
+            if (named.isPresent()) {
+                context.slots().reportRateLimit(endpoint, named);
+            } else {
+                LOGGER.warn(LogLine.of("rate-limit-unreadable")
+                        .with("endpoint", endpoint.id())
+                        .with("text", text));
+            }
+        }
+
         @Override
         public void bodyReceived(ByteBuf bytes) {
             if (!streaming) {
--- a/relay/src/main/java/org/cowslippick/relay/peer/FleetSlotBroker.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/FleetSlotBroker.java
@@ -23,6 +23,7 @@
 import org.cowslippick.relay.slot.SlotBroker;
 import org.cowslippick.relay.slot.SlotListener;
 import org.cowslippick.scheduler.slot.AnswerOutcome;
+import org.cowslippick.scheduler.slot.EndpointRateLimit;
 import org.cowslippick.scheduler.slot.PoolLoad;
 import org.cowslippick.scheduler.slot.SlotDecision;
 import org.cowslippick.scheduler.slot.SlotKey;
@@ -32,7 +33,8 @@
 
 /**
  * Requests slots from the owner of a pool. If an owner does not respond in time, this instance decides locally. Two
- * owners at the same time may overfill an endpoint, but no guarantee depends on a single owner.
+ * owners at the same time may overfill an endpoint; only one that considers itself the owner uses endpoints with a rate
+ * limit.
  */
 public final class FleetSlotBroker implements SlotBroker {
 
@@ -62,6 +64,9 @@
     private final PeerNetwork network;
     private final PoolSelector poolSelector;
     private final Map<SlotKey, LocalRequest> localRequests = new HashMap<>();
+    /** What endpoints told this instance itself. */
+    private final Map<String, EndpointRateLimit> rateLimits = new HashMap<>();
+
     private final Map<InstanceName, Incarnation> incarnations = new HashMap<>();
     private final PoolOwners owners;
     private final Region localRegion;
@@ -97,6 +102,8 @@
         network.subscribe(SlotMessages.Granted.class, this::onGranted);
         network.subscribe(SlotMessages.Refused.class, this::onRefused);
         network.subscribe(SlotMessages.Queued.class, this::onQueued);
+        network.subscribe(SlotMessages.RateLimitReported.class, this::onRateLimitReported);
+        localQueues.setOwnership(pool -> owner(pool).equals(this.self));
         fleet.start(network, pool -> owner(pool).equals(this.self), this::reassign);
     }
 
@@ -138,6 +145,49 @@
         });
     }
 
+    @Override
+    public void reportRateLimit(LiveEndpoint endpoint, Optional<Double> requestsPerSecond) {
+        EndpointRateLimit limit = new EndpointRateLimit(requestsPerSecond, timer.nanoTime());
+        EndpointRateLimit before = rateLimits.put(endpoint.id(), limit);
+        if (before == null || !before.requestsPerSecond().equals(requestsPerSecond)) {
+            LOGGER.info(LogLine.of("rate-limit-changed")
+                    .with("endpoint", endpoint.id())
+                    .with(
+                            "requestsPerSecond",
+                            requestsPerSecond.map(String::valueOf).orElse("none"))
+                    .with("owner", owner(pool(endpoint)).value()));
+        }
+        localQueues.recordRateLimit(pool(endpoint), endpoint.id(), limit);
+        sendRateLimit(owner(pool(endpoint)), endpoint, limit);
+    }
+
+    private void sendRateLimit(InstanceName owner, LiveEndpoint endpoint, EndpointRateLimit limit) {
+        if (!owner.equals(self)) {
+            send(
+                    owner,
+                    new SlotMessages.RateLimitReported(
+                            pool(endpoint), endpoint.id(), SlotMessages.AgedRateLimit.of(limit, timer.nanoTime())));
+        }
+    }
+
+    private void onRateLimitReported(PeerIdentity _sender, SlotMessages.RateLimitReported message) {
+        localQueues.recordRateLimit(
+                message.pool(), message.endpoint(), message.limit().toRateLimit(timer.nanoTime()));
+    }
+
+    /** Forgets endpoints that are gone. */
+    private void removeOutdatedRateLimits() {
+        ImmutableSet<String> known = localQueues.pools().stream()
+                .flatMap(pool -> localQueues.endpoints(pool).stream())
+                .map(LiveEndpoint::id)
+                .collect(ImmutableSet.toImmutableSet());
+        rateLimits.keySet().retainAll(known);
+    }
+
+    private static SlotPool pool(LiveEndpoint endpoint) {
+        return new SlotPool(endpoint.service(), endpoint.failureDomain().region());
+    }
+
     @Override
     public void release(SlotKey key, AnswerOutcome outcome) {
         Optional.ofNullable(localRequests.remove(key)).ifPresent(localRequest -> {
@@ -157,13 +207,13 @@
             return;
         }
         boolean isSameRegion = localRequest.pool.region().equals(localRegion);
+        localRequest.timeout = Optional.of(timer.schedule(
+                isSameRegion ? SAME_REGION_TIMEOUT : CROSS_REGION_TIMEOUT, () -> bypassOwner(key, localRequest)));
         send(
                 localRequest.owner,
                 new SlotMessages.Acquire(
                         localRequest.pool,
                         SlotMessages.RelativeSlotRequest.of(localRequest.request, timer.nanoTime())));
-        localRequest.timeout = Optional.of(timer.schedule(
-                isSameRegion ? SAME_REGION_TIMEOUT : CROSS_REGION_TIMEOUT, () -> bypassOwner(key, localRequest)));
     }
 
     private void requestLocally(LocalRequest localRequest) {
@@ -198,6 +248,7 @@
     /** Moves waiting requests and held slots to the current owners. */
     private void reassign() {
         owners.refresh(timer.nanoTime());
+        removeOutdatedRateLimits();
         ImmutableList.copyOf(localRequests.values()).stream()
                 .filter(localRequest -> !localRequest.owner.equals(owner(localRequest.pool)))
                 .forEach(this::moveToOwner);
@@ -284,11 +335,24 @@
             return;
         }
         localRequest.get().cancelTimeout();
+        Optional<EndpointRateLimit> ownersLimit = message.limit().map(limit -> limit.toRateLimit(timer.nanoTime()));
+        Optional<EndpointRateLimit> missed = Optional.ofNullable(rateLimits.get(endpoint.id()))
+                .filter(EndpointRateLimit::isLimited)
+                .filter(known ->
+                        ownersLimit.filter(limit -> !known.isNewerThan(limit)).isEmpty());
+        if (missed.isPresent()) {
+            sendRateLimit(sender.name(), endpoint, missed.get());
+            send(sender.name(), new SlotMessages.Released(message.pool(), message.number(), AnswerOutcome.SOUND));
+            requestSlot(localRequest.get());
+            return;
+        }
+        ownersLimit.ifPresent(limit -> localQueues.recordRateLimit(message.pool(), endpoint.id(), limit));
         localRequest.get().grantedEndpoint = Optional.of(endpoint.id());
         localRequest
                 .get()
                 .listener
-                .granted(new SlotDecision.Granted(localRequest.get().request, endpoint, message.predictedNanos()));
+                .granted(new SlotDecision.Granted(
+                        localRequest.get().request, endpoint, message.predictedNanos(), ownersLimit));
     }
 
     private void onRefused(PeerIdentity sender, SlotMessages.Refused message) {
@@ -354,7 +418,11 @@
             send(
                     receiver,
                     new SlotMessages.Granted(
-                            pool, grant.request().key().number(), grant.endpoint(), grant.predictedNanos()));
+                            pool,
+                            grant.request().key().number(),
+                            grant.endpoint(),
+                            grant.predictedNanos(),
+                            grant.rateLimit().map(limit -> SlotMessages.AgedRateLimit.of(limit, timer.nanoTime()))));
         }
 
         @Override
--- a/relay/src/main/java/org/cowslippick/relay/peer/SlotMessages.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/SlotMessages.java
@@ -1,6 +1,7 @@
 package org.cowslippick.relay.peer;
 
 import com.google.common.collect.ImmutableSet;
+import java.util.Optional;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.world.Region;
 import org.cowslippick.core.world.ServiceName;
@@ -10,6 +11,7 @@
 import org.cowslippick.fleet.wire.PeerMessage;
 import org.cowslippick.fleet.wire.Priority;
 import org.cowslippick.scheduler.slot.AnswerOutcome;
+import org.cowslippick.scheduler.slot.EndpointRateLimit;
 import org.cowslippick.scheduler.slot.SlotDecision;
 import org.cowslippick.scheduler.slot.SlotKey;
 import org.cowslippick.scheduler.slot.SlotPool;
@@ -38,7 +40,13 @@
                 new MessageType<>(68, Withdrawn.class, Priority.ESSENTIAL, Withdrawn::encode, Withdrawn::decode),
                 new MessageType<>(69, Granted.class, Priority.ESSENTIAL, Granted::encode, Granted::decode),
                 new MessageType<>(70, Refused.class, Priority.ESSENTIAL, Refused::encode, Refused::decode),
-                new MessageType<>(71, Queued.class, Priority.ESSENTIAL, Queued::encode, Queued::decode));
+                new MessageType<>(71, Queued.class, Priority.ESSENTIAL, Queued::encode, Queued::decode),
+                new MessageType<>(
+                        72,
+                        RateLimitReported.class,
+                        Priority.ESSENTIAL,
+                        RateLimitReported::encode,
+                        RateLimitReported::decode));
     }
 
     /** A slot request whose times are relative to the moment of sending. */
@@ -198,19 +206,71 @@
         }
     }
 
-    /** Grants a slot of the endpoint to the request. */
-    record Granted(SlotPool pool, long number, LiveEndpoint endpoint, long predictedNanos) implements PeerMessage {
+    /** What an endpoint said about its rate limit, and how long ago. */
+    record AgedRateLimit(Optional<Double> requestsPerSecond, long ageNanos) {
+
+        /** Encodes that an endpoint named no limit. */
+        private static final double UNLIMITED = -1;
+
+        static AgedRateLimit of(EndpointRateLimit limit, long nowNanos) {
+            return new AgedRateLimit(limit.requestsPerSecond(), nowNanos - limit.asOfNanos());
+        }
+
+        EndpointRateLimit toRateLimit(long nowNanos) {
+            return new EndpointRateLimit(requestsPerSecond, nowNanos - ageNanos);
+        }
+
+        private static void encode(AgedRateLimit limit, MessageWriter writer) {
+            writer.writeDouble(limit.requestsPerSecond.orElse(UNLIMITED));
+            writer.writeLong(limit.ageNanos);
+        }
+
+        private static AgedRateLimit decode(MessageReader reader) {
+            double requestsPerSecond = reader.readDouble();
+            return new AgedRateLimit(
+                    requestsPerSecond < 0 ? Optional.empty() : Optional.of(requestsPerSecond), reader.readLong());
+        }
+    }
+
+    /** Tells the owner of the pool what an endpoint said about its rate limit. */
+    record RateLimitReported(SlotPool pool, String endpoint, AgedRateLimit limit) implements PeerMessage {
+
+        private static void encode(RateLimitReported message, MessageWriter writer) {
+            encodePool(message.pool, writer);
+            writer.writeString(message.endpoint);
+            AgedRateLimit.encode(message.limit, writer);
+        }
+
+        private static RateLimitReported decode(MessageReader reader) {
+            return new RateLimitReported(decodePool(reader), reader.readString(), AgedRateLimit.decode(reader));
+        }
+    }
+
+    /**
+     * Grants a slot of the endpoint to the request.
+     *
+     * @param limit what the owner knows of the endpoint's rate limit; empty if it has never named one
+     */
+    record Granted(
+            SlotPool pool, long number, LiveEndpoint endpoint, long predictedNanos, Optional<AgedRateLimit> limit)
+            implements PeerMessage {
 
         private static void encode(Granted message, MessageWriter writer) {
             encodePool(message.pool, writer);
             writer.writeLong(message.number);
             StateSyncMessages.encodeEndpoint(message.endpoint, writer);
             writer.writeLong(message.predictedNanos);
+            writer.writeBoolean(message.limit.isPresent());
+            message.limit.ifPresent(limit -> AgedRateLimit.encode(limit, writer));
         }
 
         private static Granted decode(MessageReader reader) {
             return new Granted(
-                    decodePool(reader), reader.readLong(), StateSyncMessages.decodeEndpoint(reader), reader.readLong());
+                    decodePool(reader),
+                    reader.readLong(),
+                    StateSyncMessages.decodeEndpoint(reader),
+                    reader.readLong(),
+                    reader.readBoolean() ? Optional.of(AgedRateLimit.decode(reader)) : Optional.empty());
         }
     }
 
--- a/relay/src/main/java/org/cowslippick/relay/slot/LocalSlotQueues.java
+++ b/relay/src/main/java/org/cowslippick/relay/slot/LocalSlotQueues.java
@@ -2,15 +2,16 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
-import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.time.TimerService;
 import org.cowslippick.core.world.InstanceName;
 import org.cowslippick.scheduler.slot.AnswerOutcome;
+import org.cowslippick.scheduler.slot.EndpointRateLimit;
 import org.cowslippick.scheduler.slot.PoolLoad;
 import org.cowslippick.scheduler.slot.SlotDecision;
 import org.cowslippick.scheduler.slot.SlotKey;
@@ -27,6 +28,7 @@
     private final TimerService timer;
     private final Map<SlotPool, SlotQueue> queues = new HashMap<>();
     private final Map<SlotKey, SlotListener> listeners = new HashMap<>();
+    private Predicate<SlotPool> owns = _pool -> true;
     private boolean advanceScheduled;
     private ImmutableListMultimap<SlotPool, LiveEndpoint> endpoints = ImmutableListMultimap.of();
 
@@ -34,6 +36,16 @@
         this.timer = timer;
     }
 
+    /** Sets which pools this instance owns; by default all. */
+    public void setOwnership(Predicate<SlotPool> ownership) {
+        owns = ownership;
+    }
+
+    /** Records what an endpoint of the pool said about its rate limit. */
+    public void recordRateLimit(SlotPool pool, String endpoint, EndpointRateLimit limit) {
+        deliver(queue(pool).recordRateLimit(endpoint, limit, timer.nanoTime()));
+    }
+
     /** Requests a slot; the listener is called once, possibly before this method returns. */
     public void request(SlotPool pool, SlotRequest request, SlotListener listener) {
         listeners.put(request.key(), listener);
@@ -65,8 +77,8 @@
     /** Removes all requests of an instance whose process has ended. */
     public void removeInstance(InstanceName instance) {
         listeners.keySet().removeIf(key -> key.instance().equals(instance));
-        ImmutableList.copyOf(queues.values())
-                .forEach(queue -> deliver(queue.removeInstance(instance, timer.nanoTime())));
+        ImmutableList.copyOf(queues.keySet())
+                .forEach(pool -> deliver(queue(pool).removeInstance(instance, timer.nanoTime())));
     }
 
     /** Replaces the registered endpoints. */
@@ -77,8 +89,8 @@
                                 endpoint.service(), endpoint.failureDomain().region()),
                         endpoint -> endpoint));
         endpoints.keySet().forEach(this::queue);
-        ImmutableMap.copyOf(queues)
-                .forEach((pool, queue) -> deliver(queue.replaceEndpoints(endpoints.get(pool), timer.nanoTime())));
+        ImmutableList.copyOf(queues.keySet())
+                .forEach(pool -> deliver(queue(pool).replaceEndpoints(endpoints.get(pool), timer.nanoTime())));
     }
 
     public ImmutableList<LiveEndpoint> endpoints(SlotPool pool) {
@@ -104,12 +116,15 @@
 
     private void advance() {
         advanceScheduled = false;
-        ImmutableList.copyOf(queues.values()).forEach(queue -> deliver(queue.advance(timer.nanoTime())));
+        ImmutableList.copyOf(queues.keySet())
+                .forEach(pool -> deliver(queue(pool).advance(timer.nanoTime())));
         scheduleAdvance();
     }
 
     private SlotQueue queue(SlotPool pool) {
-        return queues.computeIfAbsent(pool, _pool -> new SlotQueue());
+        SlotQueue queue = queues.computeIfAbsent(pool, _pool -> new SlotQueue());
+        queue.setOwner(owns.test(pool));
+        return queue;
     }
 
     private void deliver(ImmutableList<SlotDecision> decisions) {
--- a/relay/src/main/java/org/cowslippick/relay/slot/SlotBroker.java
+++ b/relay/src/main/java/org/cowslippick/relay/slot/SlotBroker.java
@@ -1,5 +1,7 @@
 package org.cowslippick.relay.slot;
 
+import java.util.Optional;
+import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.world.ServiceName;
 import org.cowslippick.scheduler.slot.AnswerOutcome;
 import org.cowslippick.scheduler.slot.SlotKey;
@@ -20,6 +22,9 @@
     /** Reports that the first part of the response has arrived. */
     void responseStarted(SlotKey key);
 
+    /** Reports what the response to a dispatch said about the rate limit of its endpoint; empty if it named none. */
+    void reportRateLimit(LiveEndpoint endpoint, Optional<Double> requestsPerSecond);
+
     /** Releases the slot after a dispatch with the given outcome. */
     void release(SlotKey key, AnswerOutcome outcome);
 }
--- a/relay/src/test/java/org/cowslippick/relay/EndpointRateLimitTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/EndpointRateLimitTest.java
@@ -22,7 +22,8 @@
     /** One and a half times one request a second for four seconds, and five more. */
     private static final int MAXIMUM_SENT = 11;
 
-    private static final String SOUND = "HTTP/1.1 200 OK\r\nX-Attempt: {id}\r\nX-Seal: s\r\nContent-Length: 4\r\n\r\nbody";
+    private static final String SOUND =
+            "HTTP/1.1 200 OK\r\nX-Attempt: {id}\r\nX-Seal: s\r\nContent-Length: 4\r\n\r\nbody";
     private static final String LIMITED = SOUND.replace("X-Seal: s\r\n", "X-Seal: s\r\nX-Limit: 1\r\n");
 
     @Test
@@ -31,7 +32,9 @@
                 ScriptedEngine other = engine(SOUND);
                 RelayHarness relay = new RelayHarness(limited, other)) {
             callConcurrently(relay);
-            assertTrue(limited.requests().size() <= MAXIMUM_SENT, limited.requests().size() + " requests were sent");
+            assertTrue(
+                    limited.requests().size() <= MAXIMUM_SENT,
+                    limited.requests().size() + " requests were sent");
             assertEquals(REQUESTS, limited.requests().size() + other.requests().size());
         }
     }
@@ -71,4 +74,15 @@
         responses.set(0, LIMITED.replace("X-Limit: 1", "X-Limit: 4"));
         return responses.toArray(String[]::new);
     }
+
+    @Test
+    void limitThatIsNoNumberIsIgnored() throws Exception {
+        try (ScriptedEngine engine = engine(LIMITED.replace("X-Limit: 1", "X-Limit: few"));
+                RelayHarness relay = new RelayHarness(engine)) {
+            for (int number = 0; number < REQUESTS; number++) {
+                String response = relay.call("GET", "/look/" + number, "", "");
+                assertTrue(response.startsWith("HTTP/1.1 200"), response);
+            }
+        }
+    }
 }
--- a/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
@@ -45,6 +45,7 @@
 import org.cowslippick.relay.slot.SlotListener;
 import org.cowslippick.relay.time.EventLoopTimerService;
 import org.cowslippick.scheduler.slot.AnswerOutcome;
+import org.cowslippick.scheduler.slot.EndpointRateLimit;
 import org.cowslippick.scheduler.slot.SlotKey;
 import org.cowslippick.scheduler.slot.SlotPool;
 import org.cowslippick.scheduler.slot.SlotRequest;
@@ -60,6 +61,7 @@
             "X-Expect",
             "X-Seal",
             "X-Not-Run",
+            "X-Limit",
             "X-Tokens",
             "X-Parts",
             "X-Hint",
@@ -218,6 +220,12 @@
             localQueues.responseStarted(POOL, key);
         }
 
+        @Override
+        public void reportRateLimit(LiveEndpoint endpoint, Optional<Double> requestsPerSecond) {
+            localQueues.recordRateLimit(
+                    POOL, endpoint.id(), new EndpointRateLimit(requestsPerSecond, System.nanoTime()));
+        }
+
         @Override
         public void release(SlotKey key, AnswerOutcome outcome) {
             localQueues.release(POOL, key, outcome);
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointLoad.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointLoad.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.cowslippick.core.routing.LiveEndpoint;
+import org.cowslippick.scheduler.limit.TokenBucket;
 
 /**
  * The load, observed speed and recent failures of one endpoint. Prompt speed is the time to the first token divided by
@@ -28,7 +30,12 @@
     private static final long MAXIMUM_EJECTION_NANOS = Duration.ofSeconds(4).toNanos();
     private static final long FAILURE_RETENTION_NANOS = Duration.ofSeconds(5).toNanos();
 
+    /** Below this rate no response would tell in reasonable time that the limit has ended. */
+    private static final double MINIMUM_REQUESTS_PER_SECOND = 0.1;
+
     private LiveEndpoint endpoint;
+    private Optional<EndpointRateLimit> rateLimit = Optional.empty();
+    private Optional<TokenBucket> allowance = Optional.empty();
     private final Map<SlotKey, Dispatch> inFlight = new HashMap<>();
     private double nanosPerPromptToken = INITIAL_NANOS_PER_PROMPT_TOKEN;
     private double nanosPerAnswerToken = INITIAL_NANOS_PER_ANSWER_TOKEN;
@@ -50,9 +57,61 @@
     }
 
     void setEndpoint(LiveEndpoint newEndpoint) {
+        if (!newEndpoint.address().equals(endpoint.address())) {
+            rateLimit = Optional.empty();
+            allowance = Optional.empty();
+        }
         endpoint = newEndpoint;
     }
 
+    /** What is known of the endpoint's rate limit; empty if it has never named one. */
+    Optional<EndpointRateLimit> rateLimit() {
+        return rateLimit;
+    }
+
+    /** Records what the endpoint said about its rate limit, unless something newer is known. */
+    void recordRateLimit(EndpointRateLimit reported, long nowNanos) {
+        if (rateLimit.filter(known -> !reported.isNewerThan(known)).isPresent()) {
+            return;
+        }
+        rateLimit = Optional.of(reported);
+        allowance = reported.requestsPerSecond()
+                .map(named -> Math.max(named, MINIMUM_REQUESTS_PER_SECOND))
+                .map(rate -> resizedAllowance(rate, nowNanos));
+    }
+
+    /** A new allowance is empty, as the endpoint has just received the requests that made it name its limit. */
+    private TokenBucket resizedAllowance(double requestsPerSecond, long nowNanos) {
+        double burst = Math.max(1, requestsPerSecond);
+        TokenBucket bucket = allowance.orElseGet(() -> {
+            TokenBucket created = new TokenBucket(requestsPerSecond, burst, nowNanos);
+            created.add(-burst);
+            return created;
+        });
+        bucket.resize(requestsPerSecond, burst, nowNanos);
+        return bucket;
+    }
+
+    boolean isRateLimited() {
+        return allowance.isPresent();
+    }
+
+    /** The requests that the endpoint accepts in a second; infinite if it has not limited them. */
+    double requestsPerSecond() {
+        return rateLimit
+                .flatMap(EndpointRateLimit::requestsPerSecond)
+                .map(named -> Math.max(named, MINIMUM_REQUESTS_PER_SECOND))
+                .orElse(Double.POSITIVE_INFINITY);
+    }
+
+    /** The time until the rate limit allows another request. */
+    long nanosUntilAllowed(long nowNanos) {
+        return allowance
+                .filter(bucket -> !bucket.isAbove(0, nowNanos))
+                .map(bucket -> bucket.nanosUntilAbove(0, nowNanos))
+                .orElse(0L);
+    }
+
     int freeSlots() {
         return endpoint.leaving() ? 0 : endpoint.slots() - inFlight.size();
     }
@@ -83,6 +142,7 @@
     }
 
     void start(SlotRequest request, long nowNanos) {
+        allowance.ifPresent(bucket -> bucket.add(-1));
         inFlight.put(request.key(), new Dispatch(work(request), pendingPromptTokens + work(request), nowNanos));
         pendingPromptTokens += work(request);
     }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotDecision.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotDecision.java
@@ -1,5 +1,6 @@
 package org.cowslippick.scheduler.slot;
 
+import java.util.Optional;
 import org.cowslippick.core.routing.LiveEndpoint;
 
 /** The decision about one request in a scheduling step. */
@@ -11,8 +12,11 @@
      * The request is granted a slot and must be sent to the endpoint now.
      *
      * @param predictedNanos the expected time to the first token
+     * @param rateLimit what the granting queue knows of the endpoint's rate limit; empty if it has never named one
      */
-    record Granted(SlotRequest request, LiveEndpoint endpoint, long predictedNanos) implements SlotDecision {}
+    record Granted(
+            SlotRequest request, LiveEndpoint endpoint, long predictedNanos, Optional<EndpointRateLimit> rateLimit)
+            implements SlotDecision {}
 
     /**
      * The request is refused and must not be sent.
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.world.InstanceName;
@@ -37,6 +38,21 @@
     private final Map<SlotKey, Running> running = new HashMap<>();
     private final RefusedRequests refused = new RefusedRequests();
     private final DispatchRate dispatchRate = new DispatchRate();
+    private boolean isOwner = true;
+
+    /**
+     * Sets whether this queue is the only one of its pool. Any other does not use endpoints with a rate limit, as it does
+     * not know how many requests they get.
+     */
+    public void setOwner(boolean owner) {
+        isOwner = owner;
+    }
+
+    /** Records what an endpoint said about its rate limit. */
+    public ImmutableList<SlotDecision> recordRateLimit(String endpoint, EndpointRateLimit limit, long nowNanos) {
+        Optional.ofNullable(endpoints.get(endpoint)).ifPresent(load -> load.recordRateLimit(limit, nowNanos));
+        return step(nowNanos);
+    }
 
     /** Offers a request, which is granted a slot, queued or refused. */
     public ImmutableList<SlotDecision> offer(SlotRequest offered, long nowNanos) {
@@ -126,8 +142,8 @@
 
     public PoolLoad load(long nowNanos) {
         int free = endpoints.values().stream()
-                .filter(load -> load.isUsable(nowNanos))
-                .mapToInt(load -> Math.max(0, load.freeSlots()))
+                .filter(load -> isOpen(load, nowNanos))
+                .mapToInt(load -> load.isRateLimited() ? 1 : load.freeSlots())
                 .sum();
         return new PoolLoad(free, waiting.size());
     }
@@ -174,8 +190,13 @@
         return false;
     }
 
-    private static boolean isOpen(EndpointLoad load, long nowNanos) {
-        return load.isUsable(nowNanos) && load.freeSlots() > 0;
+    private boolean isOpen(EndpointLoad load, long nowNanos) {
+        return isAvailable(load, nowNanos) && load.freeSlots() > 0 && load.nanosUntilAllowed(nowNanos) == 0;
+    }
+
+    /** Whether this queue may use the endpoint, now or when a slot and its rate limit allow. */
+    private boolean isAvailable(EndpointLoad load, long nowNanos) {
+        return load.isUsable(nowNanos) && (isOwner || !load.isRateLimited());
     }
 
     private boolean canBePlaced(SlotRequest request, long nowNanos) {
@@ -187,8 +208,8 @@
     private long fastestNanos(SlotRequest request, long nowNanos) {
         long fastest = Long.MAX_VALUE;
         for (EndpointLoad load : endpoints.values()) {
-            if (load.isUsable(nowNanos)) {
-                fastest = Math.min(fastest, load.predictedNanos(request));
+            if (isAvailable(load, nowNanos)) {
+                fastest = Math.min(fastest, load.nanosUntilAllowed(nowNanos) + load.predictedNanos(request));
             }
         }
         return fastest == Long.MAX_VALUE ? 0 : fastest;
@@ -225,12 +246,12 @@
         load.start(request, nowNanos);
         running.put(request.key(), new Running(request, load));
         dispatchRate.recordDispatch(nowNanos);
-        return new SlotDecision.Granted(request, load.endpoint(), predicted);
+        return new SlotDecision.Granted(request, load.endpoint(), predicted, load.rateLimit());
     }
 
     /**
      * The expected wait: the time to dispatch the requests ahead at the recent dispatch rate, and at least as long as
-     * the first request of the same urgency has waited already.
+     * the first request of the same urgency has waited already and as the rate limits of the endpoints require.
      */
     private long expectedWaitNanos(SlotRequest request, long nowNanos) {
         if (hasOpenEndpoint(nowNanos)) {
@@ -239,7 +260,28 @@
         long waitedSoFar = waiting.firstOfSameUrgency(request)
                 .map(first -> nowNanos - first.arrivedAtNanos())
                 .orElse(0L);
-        return Math.max(waitedSoFar, dispatchRate.expectedNanos(waiting.countAhead(request) + 1L));
+        int ahead = waiting.countAhead(request);
+        return LongStream.of(waitedSoFar, dispatchRate.expectedNanos(ahead + 1L), rateLimitedWaitNanos(ahead, nowNanos))
+                .max()
+                .getAsLong();
+    }
+
+    /** The wait for the rate limits if all available endpoints have one; the recent dispatch rate may be higher. */
+    private long rateLimitedWaitNanos(int ahead, long nowNanos) {
+        ImmutableList<EndpointLoad> available = endpoints.values().stream()
+                .filter(load -> isAvailable(load, nowNanos))
+                .collect(ImmutableList.toImmutableList());
+        if (available.isEmpty() || !available.stream().allMatch(EndpointLoad::isRateLimited)) {
+            return 0;
+        }
+        double requestsPerSecond =
+                available.stream().mapToDouble(EndpointLoad::requestsPerSecond).sum();
+        long soonest = available.stream()
+                .mapToLong(load -> load.nanosUntilAllowed(nowNanos))
+                .min()
+                .getAsLong();
+        return soonest
+                + (long) (ahead / requestsPerSecond * Duration.ofSeconds(1).toNanos());
     }
 
     private static ImmutableList<SlotDecision> refusal(
