Endpoints are probed only after a lost connection

Cause: every failed response, also one that is not valid HTTP, made the relay probe its endpoint for a crash. An endpoint that sends bytes without end is alive, and each such response cost it another connection. Change: the listener of a response is told of a lost connection apart from an invalid response.

--- a/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
@@ -109,7 +109,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext _context) {
-        failRequest(closeCause);
+        endRequest(present -> present.connectionLost(closeCause));
     }
 
     @Override
@@ -197,13 +197,13 @@
     }
 
     private void failAndClose(String cause) {
-        failRequest(cause);
+        endRequest(present -> present.failed(cause));
         context.close();
     }
 
-    private void failRequest(String cause) {
+    private void endRequest(Consumer<ResponseListener> notification) {
         Optional<ResponseListener> current = listener;
         listener = Optional.empty();
-        current.ifPresent(present -> present.failed(cause));
+        current.ifPresent(notification);
     }
 }
--- a/relay/src/main/java/org/cowslippick/relay/endpoint/ResponseListener.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/ResponseListener.java
@@ -3,7 +3,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
 
-/** Receives the response to one dispatch. No method is called after {@link #completed} or {@link #failed}. */
+/**
+ * Receives the response to one dispatch. No method is called after {@link #completed}, {@link #connectionLost} or {@link
+ * #failed}.
+ */
 public interface ResponseListener {
 
     /** Called when the request has been handed to the connection; from now on the endpoint may execute it. */
@@ -19,6 +22,9 @@
 
     void completed();
 
-    /** Called when the connection closed before the response was complete, or when the response is not valid HTTP. */
+    /** Called when the endpoint closed the connection before the response was complete. */
+    void connectionLost(String cause);
+
+    /** Called when the response is not valid HTTP. */
     void failed(String cause);
 }
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
@@ -425,11 +425,16 @@
         }
 
         @Override
-        public void failed(String reason) {
-            cause = reason;
+        public void connectionLost(String reason) {
             if (!answered) {
                 context.crashes().requestBroken(endpoint, contents);
             }
+            failed(reason);
+        }
+
+        @Override
+        public void failed(String reason) {
+            cause = reason;
             events.discardPartialEvent();
             release(AnswerOutcome.BROKEN);
             retryOrFail(ErrorKind.ENDPOINT_REFUSED);
@@ -494,7 +499,7 @@
         private void completeStream() {
             handle = Optional.empty();
             if (events.hasPartialEvent() || !responseStarted) {
-                failed("the stream ended within an event");
+                connectionLost("the stream ended within an event");
                 return;
             }
             recordAnswered();
