--- a/relay/src/main/java/org/cowslippick/relay/peer/FleetMembership.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/FleetMembership.java
@@ -169,7 +169,7 @@
         usesCollectors = others.size() > MAXIMUM_DIRECT_PEERS;
         InstanceReport report = report();
         ImmutableList<Instance> localCollectors = localCollectors();
-        ImmutableSet<InstanceName> receivers = names(usesCollectors ? localCollectors : others);
+        ImmutableSet<InstanceName> receivers = namesOfOthers(usesCollectors ? localCollectors : others);
         network.ifPresent(peers -> receivers.forEach(receiver -> peers.send(receiver, report)));
         ownReportedUsage = usage(report);
         setCollector(!usesCollectors || localCollectors.stream().anyMatch(this::isSelf) || stateSynchroniser.isStuck());
@@ -234,14 +234,14 @@
     }
 
     private ImmutableSet<InstanceName> regionMembers() {
-        return names(instances.all().stream()
+        return namesOfOthers(instances.all().stream()
                 .filter(instance -> instance.region().equals(instances.self().region()))
                 .collect(ImmutableList.toImmutableList()));
     }
 
     private ImmutableSet<InstanceName> remoteCollectors() {
         ImmutableList<Instance> all = instances.all();
-        return names(all.stream()
+        return namesOfOthers(all.stream()
                 .map(Instance::region)
                 .distinct()
                 .filter(other -> !other.equals(instances.self().region()))
@@ -250,7 +250,7 @@
     }
 
     /** The names of the given instances without this one. */
-    private ImmutableSet<InstanceName> names(ImmutableList<Instance> given) {
+    private ImmutableSet<InstanceName> namesOfOthers(ImmutableList<Instance> given) {
         return given.stream()
                 .filter(instance -> !isSelf(instance))
                 .map(Instance::name)
--- a/relay/src/main/java/org/cowslippick/relay/peer/FleetSlotBroker.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/FleetSlotBroker.java
@@ -33,8 +33,7 @@
 
 /**
  * Requests slots from the owner of a pool. If an owner does not respond in time, this instance decides locally. Two
- * owners at the same time may overfill an endpoint; only the designated one, which no instance has to bypass, uses endpoints
- * with a rate limit.
+ * owners at the same time may overfill an endpoint, so only the designated one uses endpoints with a rate limit.
  */
 public final class FleetSlotBroker implements SlotBroker {
 
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -42,8 +42,8 @@
     private boolean isOwner = true;
 
     /**
-     * Sets whether this queue is the only one of its pool. Any other does not use endpoints with a rate limit, as it does
-     * not know how many requests they get.
+     * Sets whether this instance is the designated owner of the pool. Any other does not use endpoints with a rate limit, as
+     * it does not know how many requests they get.
      */
     public void setOwner(boolean owner) {
         isOwner = owner;
