--- a/relay/src/main/java/org/cowslippick/relay/caller/CallerConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/CallerConnection.java
@@ -56,6 +56,8 @@
     private boolean closing;
     private boolean readingHead;
     private long timeoutStartNanos;
+    private long arrivedAtNanos;
+    private Optional<Long> connectedAtNanos = Optional.empty();
 
     CallerConnection(CallerConnections connections) {
         this.connections = connections;
@@ -66,6 +68,8 @@
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
         connections.register(this);
+        connectedAtNanos = Optional.of(earliestArrivalNanos());
+        connections.monitor().afterReading(() -> connectedAtNanos = Optional.empty());
     }
 
     @Override
@@ -212,8 +216,14 @@
         }
     }
 
+    /** The earliest moment at which bytes may have arrived that are read now. */
+    private long earliestArrivalNanos() {
+        return connections.timer().nanoTime() - connections.monitor().lag().toNanos();
+    }
+
     private void startRequest(HttpRequest request) {
         timeoutStartNanos = connections.timer().nanoTime();
+        arrivedAtNanos = connectedAtNanos.orElseGet(this::earliestArrivalNanos);
         if (hasAmbiguousLength(request)) {
             reject(ErrorKind.MALFORMED_REQUEST, "the length of the body is ambiguous");
             return;
@@ -264,12 +274,8 @@
         if (!HttpUtil.isKeepAlive(request)) {
             closing = true;
         }
-        CallerRequest callerRequest = connections
-                .reader()
-                .read(
-                        request,
-                        Unpooled.wrappedBuffer(body.toByteArray()),
-                        connections.timer().nanoTime());
+        CallerRequest callerRequest =
+                connections.reader().read(request, Unpooled.wrappedBuffer(body.toByteArray()), arrivedAtNanos);
         releaseBody();
         closing = closing || connections.isDraining();
         CallerListener requestListener = connections.handler().handle(callerRequest, new CallerExchange(this));
--- a/relay/src/main/java/org/cowslippick/relay/caller/CallerConnections.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/CallerConnections.java
@@ -9,6 +9,7 @@
 import org.cowslippick.core.routing.CallerLimits;
 import org.cowslippick.core.time.TimerService;
 import org.cowslippick.relay.message.RequestReader;
+import org.cowslippick.relay.time.LoopMonitor;
 
 /** All open connections of callers; closes those that exceed a timeout. */
 public final class CallerConnections {
@@ -21,6 +22,7 @@
     private final Set<CallerConnection> open = Collections.newSetFromMap(new IdentityHashMap<>());
     private final Supplier<CallerLimits> limits;
     private final TimerService timer;
+    private final LoopMonitor monitor;
     private final RequestReader reader;
     private final RequestHandler handler;
     private boolean draining;
@@ -28,9 +30,14 @@
 
     /** Starts the periodic timeout check. All methods must be called on the event loop of the timer. */
     public CallerConnections(
-            Supplier<CallerLimits> limits, TimerService timer, RequestReader reader, RequestHandler handler) {
+            Supplier<CallerLimits> limits,
+            TimerService timer,
+            LoopMonitor monitor,
+            RequestReader reader,
+            RequestHandler handler) {
         this.limits = limits;
         this.timer = timer;
+        this.monitor = monitor;
         this.reader = reader;
         this.handler = handler;
         timer.scheduleWithFixedDelay(TIMEOUT_CHECK_PERIOD, this::checkTimeouts);
@@ -66,6 +73,10 @@
         return timer;
     }
 
+    LoopMonitor monitor() {
+        return monitor;
+    }
+
     RequestReader reader() {
         return reader;
     }
--- a/relay/src/main/java/org/cowslippick/relay/endpoint/Dispatch.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/Dispatch.java
@@ -7,7 +7,5 @@
  * A request to be sent to an endpoint.
  *
  * @param attemptId echoed by the endpoint; a response with another id belongs to another request
- * @param mayRepeat whether the request may use a pooled connection, on which it can be lost without proof that it did
- *     not run
  */
-public record Dispatch(HttpRequest head, ByteBuf body, String attemptId, boolean mayRepeat) {}
+public record Dispatch(HttpRequest head, ByteBuf body, String attemptId) {}
--- a/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnections.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnections.java
@@ -18,9 +18,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.time.TimerService;
 import org.cowslippick.relay.message.SocketOptions;
+import org.cowslippick.relay.time.LoopMonitor;
 
 /**
  * A connection pool for endpoints. A request that must not run twice always gets a new connection: if the endpoint
@@ -40,26 +42,45 @@
 
     private final EventLoopGroup loops;
     private final TimerService timer;
+    private final LoopMonitor monitor;
     private final String attemptIdHeader;
     private final Map<HostAndPort, Deque<EndpointConnection>> idle = new HashMap<>();
 
     /** Creates an empty pool. All methods must be called on the only event loop of the group. */
-    public EndpointConnections(EventLoopGroup loops, TimerService timer, String attemptIdHeader) {
+    public EndpointConnections(EventLoopGroup loops, TimerService timer, LoopMonitor monitor, String attemptIdHeader) {
         this.loops = loops;
         this.timer = timer;
+        this.monitor = monitor;
         this.attemptIdHeader = attemptIdHeader;
         timer.scheduleWithFixedDelay(EVICTION_PERIOD, this::evictExpired);
     }
 
-    /** Sends the request; the returned handle cancels it. */
-    public Handle send(LiveEndpoint endpoint, Dispatch dispatch, ResponseListener listener) {
+    /**
+     * Sends a request once a connection is open and everything is read that has arrived, so that a caller's close comes
+     * first.
+     *
+     * @param mayRepeat whether the request may use a pooled connection, on which it can be lost without proof that it did
+     *     not run
+     * @param dispatch called at the moment of sending; empty if the request must not be sent any more
+     * @return a handle that cancels the request
+     */
+    public Handle send(
+            LiveEndpoint endpoint,
+            boolean mayRepeat,
+            Supplier<Optional<Dispatch>> dispatch,
+            ResponseListener listener) {
         Handle handle = new Handle();
-        Optional<EndpointConnection> pooled = dispatch.mayRepeat() ? acquireIdle(endpoint.address()) : Optional.empty();
-        if (pooled.isPresent()) {
-            handle.start(pooled.get(), dispatch, listener);
-        } else {
-            open(endpoint.address(), dispatch, listener, handle);
-        }
+        monitor.afterReading(() -> {
+            if (handle.cancelled) {
+                return;
+            }
+            Optional<EndpointConnection> pooled = mayRepeat ? acquireIdle(endpoint.address()) : Optional.empty();
+            if (pooled.isPresent()) {
+                handle.start(pooled.get(), dispatch, listener);
+            } else {
+                open(endpoint.address(), dispatch, listener, handle);
+            }
+        });
         return handle;
     }
 
@@ -94,7 +115,8 @@
         return Optional.empty();
     }
 
-    private void open(HostAndPort address, Dispatch dispatch, ResponseListener listener, Handle handle) {
+    private void open(
+            HostAndPort address, Supplier<Optional<Dispatch>> dispatch, ResponseListener listener, Handle handle) {
         ResponseDecoder decoder = new ResponseDecoder();
         EndpointConnection connection =
                 new EndpointConnection(attemptIdHeader, decoder, finished -> release(address, finished));
@@ -109,15 +131,17 @@
                     }
                 })
                 .connect(address.getHost(), address.getPort());
-        connecting.addListener(_done -> {
+        connecting.addListener(_done -> monitor.afterReading(() -> {
             if (handle.cancelled) {
                 connecting.channel().close();
-            } else if (connecting.isSuccess()) {
+            } else if (!connecting.isSuccess()) {
+                listener.connectFailed(String.valueOf(connecting.cause().getMessage()));
+            } else if (connection.isOpen()) {
                 handle.start(connection, dispatch, listener);
             } else {
-                listener.connectFailed(String.valueOf(connecting.cause().getMessage()));
+                listener.connectFailed("the endpoint closed the new connection");
             }
-        });
+        }));
     }
 
     private void release(HostAndPort address, EndpointConnection connection) {
@@ -148,9 +172,10 @@
         private Optional<EndpointConnection> connection = Optional.empty();
         private boolean cancelled;
 
-        private void start(EndpointConnection opened, Dispatch dispatch, ResponseListener listener) {
+        private void start(
+                EndpointConnection opened, Supplier<Optional<Dispatch>> dispatch, ResponseListener listener) {
             connection = Optional.of(opened);
-            opened.send(dispatch, listener);
+            dispatch.get().ifPresent(present -> opened.send(present, listener));
         }
 
         /** Closes the connection, which makes the endpoint cancel the request; the listener is not called again. */
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
@@ -124,8 +124,12 @@
         Attempt newAttempt = new Attempt(grant);
         attempt = Optional.of(newAttempt);
         triedEndpoints.add(grant.endpoint().id());
-        newAttempt.handle =
-                Optional.of(context.connections().send(grant.endpoint(), dispatch(grant.endpoint()), newAttempt));
+        newAttempt.handle = Optional.of(context.connections()
+                .send(
+                        grant.endpoint(),
+                        admission.route().allowsRetryAfterStart(),
+                        () -> dispatchIfNotTooLate(grant.endpoint()),
+                        newAttempt));
     }
 
     @Override
@@ -196,6 +200,16 @@
         return Duration.ofNanos((long) (RETRY_WAIT_PER_TIMEOUT * callerTimeoutNanos));
     }
 
+    /** Ends the request instead if it has become too late while this instance was behind. */
+    private Optional<Dispatch> dispatchIfNotTooLate(LiveEndpoint endpoint) {
+        if (now() - queueDeadlineNanos(maximumRetryWait(admission.route())) < 0 || responseStarted) {
+            return Optional.of(dispatch(endpoint));
+        }
+        cause = "too late when the request could be sent";
+        fail(ErrorKind.DEADLINE_UNREACHABLE, RETRY_AFTER_REFUSAL);
+        return Optional.empty();
+    }
+
     private Dispatch dispatch(LiveEndpoint endpoint) {
         DefaultHttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.target());
         HttpHeaders headers = head.headers();
@@ -214,8 +228,7 @@
         events.lastId()
                 .filter(_id -> responseStarted)
                 .ifPresent(id -> headers.set(context.names().lastEvent(), id));
-        return new Dispatch(
-                head, request.body(), request.attemptId(), admission.route().allowsRetryAfterStart());
+        return new Dispatch(head, request.body(), request.attemptId());
     }
 
     private boolean expectsBody() {
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardingContext.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardingContext.java
@@ -7,10 +7,12 @@
 import org.cowslippick.relay.endpoint.EndpointConnections;
 import org.cowslippick.relay.message.HeaderNames;
 import org.cowslippick.relay.slot.SlotBroker;
+import org.cowslippick.relay.time.LoopMonitor;
 
 /** The components that all forwarded requests share. */
 public record ForwardingContext(
         TimerService timer,
+        LoopMonitor monitor,
         HeaderNames names,
         Supplier<RoutingTable> routing,
         SlotBroker slots,
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/RequestForwarder.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/RequestForwarder.java
@@ -11,6 +11,7 @@
 import org.cowslippick.relay.caller.RequestHandler;
 import org.cowslippick.relay.log.LogLine;
 import org.cowslippick.relay.message.CallerRequest;
+import org.cowslippick.scheduler.overload.BacklogAdmission;
 
 /** Forwards each request that the configuration and the quotas admit. */
 public final class RequestForwarder implements RequestHandler {
@@ -32,12 +33,20 @@
     @Override
     public CallerListener handle(CallerRequest request, CallerExchange exchange) {
         return Admission.of(request, context.routing().get())
-                .flatMap(admission -> acquireQuota(admission)
+                .flatMap(admission -> refuseIfBehind(admission)
+                        .or(() -> acquireQuota(admission))
                         .<Either<Failure, Admission>>map(Either::left)
                         .orElseGet(() -> Either.right(admission)))
                 .fold(failure -> refuse(request, exchange, failure), admission -> start(request, exchange, admission));
     }
 
+    private Optional<Failure> refuseIfBehind(Admission admission) {
+        Duration lag = context.monitor().lag();
+        return BacklogAdmission.refusal(admission.rank(), lag)
+                .map(delay -> Failure.retryAfter(
+                        ErrorKind.SHED, "this instance is behind by " + lag.toMillis() + " ms", delay));
+    }
+
     private Optional<Failure> acquireQuota(Admission admission) {
         if (admission.quotaCost() == 0) {
             return Optional.empty();
--- a/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
@@ -1,18 +1,23 @@
 package org.cowslippick.relay;
 
+import static com.google.common.util.concurrent.Uninterruptibles.awaitUninterruptibly;
+
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.net.HostAndPort;
+import io.netty.channel.SingleThreadEventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.cowslippick.core.routing.CallerLimits;
 import org.cowslippick.core.routing.LiveEndpoint;
@@ -44,6 +49,7 @@
 import org.cowslippick.relay.slot.SlotBroker;
 import org.cowslippick.relay.slot.SlotListener;
 import org.cowslippick.relay.time.EventLoopTimerService;
+import org.cowslippick.relay.time.LoopMonitor;
 import org.cowslippick.scheduler.slot.AnswerOutcome;
 import org.cowslippick.scheduler.slot.EndpointRateLimit;
 import org.cowslippick.scheduler.slot.SlotKey;
@@ -72,19 +78,25 @@
     private static final Region REGION = new Region("asturias");
     private static final FailureDomain DOMAIN = new FailureDomain("oviedo", REGION);
     private static final OrganisationName ORGANISATION = new OrganisationName("portalia");
+    private static final int ITERATIONS_TO_CATCH_UP = 3;
     private static final int READ_TIMEOUT_MILLISECONDS = 4_000;
 
     private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
     private final CallerServer server;
     private final CallerConnections callers;
     private final HostAndPort address;
+    private final LoopClock clock;
 
     RelayHarness(ScriptedEngine... engines) throws IOException, InterruptedException {
-        TimerService timer = new EventLoopTimerService(loops.next());
+        SingleThreadEventLoop loop = (SingleThreadEventLoop) loops.next();
+        TimerService timer = new EventLoopTimerService(loop);
+        this.clock = new LoopClock(timer);
+        LoopMonitor monitor = new LoopMonitor(loop, clock);
         LocalSlotQueues localQueues = new LocalSlotQueues(timer);
-        EndpointConnections connections = new EndpointConnections(loops, timer, NAMES.attemptId());
+        EndpointConnections connections = new EndpointConnections(loops, timer, monitor, NAMES.attemptId());
         RequestForwarder forwarder = new RequestForwarder(new ForwardingContext(
                 timer,
+                monitor,
                 NAMES,
                 RelayHarness::table,
                 new SinglePoolBroker(localQueues),
@@ -92,7 +104,8 @@
                 new CrashDetector(new InstanceName("front-1"), new Incarnation(1), timer, connections::probe),
                 new SharedQuotas(timer, new QuotaTolerance(Duration.ofSeconds(8), 0.1, 0)),
                 new SharedRetryBudget(0.2, 50)));
-        this.callers = new CallerConnections(() -> table().limits(), timer, new RequestReader(NAMES), forwarder);
+        this.callers =
+                new CallerConnections(() -> table().limits(), timer, monitor, new RequestReader(NAMES), forwarder);
         this.address = HostAndPort.fromParts("127.0.0.1", freePort());
         this.server = CallerServer.listen(address, loops, callers);
         server.bindFuture().sync();
@@ -119,6 +132,31 @@
         return socket;
     }
 
+    Socket openUnchecked() {
+        try {
+            return open();
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    /** Stops the event loop until the returned task is run; its monitor then sees the given duration. */
+    Runnable holdLoop(Duration seen) {
+        CountDownLatch held = new CountDownLatch(1);
+        loops.next().execute(() -> {
+            awaitUninterruptibly(held);
+            clock.standStill(seen);
+        });
+        return held::countDown;
+    }
+
+    /** Waits until the relay has read what arrived while its loop stood still. */
+    void awaitCaughtUp() throws InterruptedException {
+        for (int iteration = 0; iteration < ITERATIONS_TO_CATCH_UP; iteration++) {
+            loops.next().schedule(() -> {}, 100, TimeUnit.MILLISECONDS).sync();
+        }
+    }
+
     static void send(Socket socket, String method, String path, String headers, String body) throws IOException {
         String request = method + " " + path + " HTTP/1.1\r\nHost: example.org\r\nX-Attempt: a1\r\nX-Key: key\r\n"
                 + "Connection: close\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body;
