--- a/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
@@ -12,7 +12,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.cowslippick.relay.log.LogLine;
 import org.jboss.logging.Logger;
@@ -30,6 +32,9 @@
     /** Provisional responses, and responses to earlier requests, that may precede the expected one. */
     private static final int MAXIMUM_SKIPPED_RESPONSES = 16;
 
+    /** Requests on one connection, which bounds the ids that it remembers. */
+    private static final int MAXIMUM_REQUESTS = 256;
+
     private static final long MAXIMUM_SKIPPED_BYTES = 1 << 20;
 
     private final String attemptIdHeader;
@@ -44,6 +49,7 @@
     private long skippedBytes;
     private boolean reusable;
     private boolean reused;
+    private final Set<String> sentAttemptIds = new HashSet<>();
     private boolean hasFailed;
     private String closeCause = "connection closed";
     private long idleSinceNanos;
@@ -67,6 +73,14 @@
         return idleSinceNanos;
     }
 
+    /**
+     * Whether the next response can be told from those to earlier requests: an endpoint may write an earlier response once
+     * more, which only its attempt id shows.
+     */
+    boolean canSend(String nextAttemptId) {
+        return !sentAttemptIds.contains(nextAttemptId) && sentAttemptIds.size() < MAXIMUM_REQUESTS;
+    }
+
     void markIdle(long nowNanos) {
         idleSinceNanos = nowNanos;
     }
@@ -74,6 +88,7 @@
     void send(Dispatch dispatch, ResponseListener responseListener) {
         listener = Optional.of(responseListener);
         attemptId = Optional.of(dispatch.attemptId());
+        sentAttemptIds.add(dispatch.attemptId());
         requestFlushed = false;
         skippedResponses = 0;
         skippedBytes = 0;
--- a/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnections.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnections.java
@@ -59,6 +59,7 @@
      * Sends a request once a connection is open and everything is read that has arrived, so that a caller's close comes
      * first.
      *
+     * @param attemptId echoed by the endpoint; a response with another id belongs to another request
      * @param mayRepeat whether the request may use a pooled connection, on which it can be lost without proof that it did
      *     not run
      * @param dispatch called at the moment of sending; empty if the request must not be sent any more
@@ -66,6 +67,7 @@
      */
     public Handle send(
             LiveEndpoint endpoint,
+            String attemptId,
             boolean mayRepeat,
             Supplier<Optional<Dispatch>> dispatch,
             ResponseListener listener) {
@@ -74,7 +76,8 @@
             if (handle.cancelled) {
                 return;
             }
-            Optional<EndpointConnection> pooled = mayRepeat ? acquireIdle(endpoint.address()) : Optional.empty();
+            Optional<EndpointConnection> pooled =
+                    mayRepeat ? acquireIdle(endpoint.address(), attemptId) : Optional.empty();
             if (pooled.isPresent()) {
                 handle.start(pooled.get(), dispatch, listener);
             } else {
@@ -102,12 +105,13 @@
                 .handler(handler);
     }
 
-    private Optional<EndpointConnection> acquireIdle(HostAndPort address) {
+    private Optional<EndpointConnection> acquireIdle(HostAndPort address, String attemptId) {
         Deque<EndpointConnection> pool = idle.getOrDefault(address, new ArrayDeque<>());
         long now = timer.nanoTime();
         while (!pool.isEmpty()) {
             EndpointConnection connection = pool.pollLast();
-            if (connection.isOpen() && now - connection.idleSinceNanos() < MAXIMUM_IDLE_NANOS) {
+            boolean isUsable = connection.isOpen() && connection.canSend(attemptId);
+            if (isUsable && now - connection.idleSinceNanos() < MAXIMUM_IDLE_NANOS) {
                 return Optional.of(connection);
             }
             connection.close();
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
@@ -127,6 +127,7 @@
         newAttempt.handle = Optional.of(context.connections()
                 .send(
                         grant.endpoint(),
+                        request.attemptId(),
                         admission.route().allowsRetryAfterStart(),
                         () -> dispatchIfStillAllowed(grant.endpoint()),
                         newAttempt));
--- a/relay/src/main/java/org/cowslippick/relay/peer/FleetMembership.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/FleetMembership.java
@@ -166,6 +166,7 @@
 
     private void runReportCycle() {
         ImmutableList<Instance> others = instances.others();
+        timer.schedule(period(others.size()), this::runReportCycle);
         usesCollectors = others.size() > MAXIMUM_DIRECT_PEERS;
         InstanceReport report = report();
         ImmutableList<Instance> localCollectors = localCollectors();
@@ -187,7 +188,6 @@
         refresh(others);
         stateSynchroniser.compare(versions());
         quotas.setShare((1.0 + live.size()) / (1.0 + others.size()));
-        timer.schedule(period(others.size()), this::runReportCycle);
     }
 
     private boolean isSelf(Instance instance) {
--- a/relay/src/test/java/org/cowslippick/relay/RelayTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayTest.java
@@ -5,8 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.Socket;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * End-to-end tests of the relay over sockets: the responses to callers and the requests to engines for each kind of
@@ -93,7 +96,7 @@
         try (ScriptedEngine engine = new ScriptedEngine(OK, late + OK, OK);
                 RelayHarness relay = new RelayHarness(engine)) {
             assertTrue(relay.call("GET", "/look/1", "", "").endsWith("body"));
-            String response = relay.call("GET", "/look/2", "", "");
+            String response = relay.call("GET", "/look/2", "X-Attempt: a2\r\n", "");
             assertFalse(response.contains("wrong"), response);
             assertEquals(2, engine.requests().size());
         }
@@ -178,6 +181,32 @@
         }
     }
 
+    /** A faulty engine writes an earlier refusal once more on a kept connection, before it answers the next request. */
+    @ParameterizedTest
+    @ValueSource(strings = {"503 Service Unavailable", "429 Too Many Requests", "421 Misdirected Request"})
+    void earlierRefusalIsNotTakenForThatOfALaterRequest(String status) throws Exception {
+        String refused = REFUSED.replace("503 Service Unavailable", status);
+        for (String attempt : List.of("X-Attempt: a1\r\n", "X-Attempt: a2\r\n")) {
+            try (ScriptedEngine engine = new ScriptedEngine(refused, OK, OK).withRepeatedResponses();
+                    RelayHarness relay = new RelayHarness(engine)) {
+                relay.call("GET", "/look/1", "X-Attempt: a1\r\n", "");
+                String response = relay.call("GET", "/look/2", attempt, "");
+                assertTrue(response.startsWith("HTTP/1.1 200"), response);
+            }
+        }
+    }
+
+    @Test
+    void requestThatMustNotRunTwiceIsNeverSentOnAKeptConnection() throws Exception {
+        try (ScriptedEngine engine = new ScriptedEngine(REFUSED, OK).withRepeatedResponses();
+                RelayHarness relay = new RelayHarness(engine)) {
+            relay.call("GET", "/look/1", "", "");
+            String response = relay.call("POST", "/book/1", "", "");
+            assertTrue(response.startsWith("HTTP/1.1 200"), response);
+            assertEquals(2, engine.requests().size());
+        }
+    }
+
     private static void awaitClosed(ScriptedEngine engine) throws InterruptedException {
         for (int attempt = 0; attempt < 200 && engine.closedByRelay() == 0; attempt++) {
             TimeUnit.MILLISECONDS.sleep(10);
--- a/relay/src/test/java/org/cowslippick/relay/ScriptedEngine.java
+++ b/relay/src/test/java/org/cowslippick/relay/ScriptedEngine.java
@@ -46,6 +46,7 @@
     private final AtomicInteger endlessBytes = new AtomicInteger();
 
     private volatile String crashText = "";
+    private volatile boolean repeatsResponses;
 
     ScriptedEngine(String... script) throws IOException {
         this.serverSocket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
@@ -67,6 +68,12 @@
         return this;
     }
 
+    /** Makes the engine write the earlier responses of a connection once more before the next one. */
+    ScriptedEngine withRepeatedResponses() {
+        repeatsResponses = true;
+        return this;
+    }
+
     HostAndPort address() {
         return HostAndPort.fromParts("127.0.0.1", serverSocket.getLocalPort());
     }
@@ -106,11 +113,12 @@
 
     private void serve(Socket socket) {
         try (socket) {
+            StringBuilder earlier = new StringBuilder();
             BufferedReader reader =
                     new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1));
             for (String head = readRequest(reader); !head.isEmpty(); head = readRequest(reader)) {
                 requests.add(head);
-                if (!respond(socket, head)) {
+                if (!respond(socket, head, earlier)) {
                     return;
                 }
             }
@@ -120,7 +128,7 @@
         }
     }
 
-    private boolean respond(Socket socket, String head) throws IOException {
+    private boolean respond(Socket socket, String head, StringBuilder earlier) throws IOException {
         if (!crashText.isEmpty() && head.contains(crashText)) {
             crash();
             return false;
@@ -136,8 +144,11 @@
         boolean closes = script.endsWith(CLOSE);
         boolean resets = script.endsWith(RESET);
         String text = script.replace(CLOSE, "").replace(RESET, "").replace("{id}", header(head, "X-Attempt"));
-        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().write((earlier + text).getBytes(StandardCharsets.ISO_8859_1));
         socket.getOutputStream().flush();
+        if (repeatsResponses) {
+            earlier.append(text);
+        }
         if (resets) {
             delay(RESET_DELAY_MILLISECONDS);
             socket.setSoLinger(true, 0);
