--- a/fleet/src/main/java/org/cowslippick/fleet/peer/HandshakeSettings.java
+++ b/fleet/src/main/java/org/cowslippick/fleet/peer/HandshakeSettings.java
@@ -1,6 +1,7 @@
 package org.cowslippick.fleet.peer;
 
 import com.google.common.io.BaseEncoding;
+import java.security.NoSuchAlgorithmException;
 import java.security.SecureRandom;
 import java.util.function.Supplier;
 import org.cowslippick.fleet.wire.ClusterKeys;
@@ -21,7 +22,16 @@
     static final FrameCodec HANDSHAKE_CODEC = new FrameCodec(new MessageTypes(ConnectionMessages.HANDSHAKE));
 
     private static final int NONCE_BYTES = 32;
-    private static final SecureRandom RANDOM = new SecureRandom();
+    private static final SecureRandom RANDOM = newRandom();
+
+    /** Names the algorithm where it exists, as the default constructor loads all security providers. */
+    private static SecureRandom newRandom() {
+        try {
+            return SecureRandom.getInstance("NativePRNG");
+        } catch (NoSuchAlgorithmException _notOnThisSystem) {
+            return new SecureRandom();
+        }
+    }
 
     static String nonce() {
         byte[] bytes = new byte[NONCE_BYTES];
--- a/relay/src/main/java/org/cowslippick/relay/caller/CallerExchange.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/CallerExchange.java
@@ -1,5 +1,6 @@
 package org.cowslippick.relay.caller;
 
+import com.google.common.base.Strings;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -13,7 +14,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.Locale;
 import org.cowslippick.core.error.Failure;
 
 /**
@@ -22,7 +22,8 @@
  */
 public final class CallerExchange {
 
-    private static final double MILLISECONDS_PER_SECOND = 1000;
+    private static final long MILLISECONDS_PER_SECOND = 1000;
+    private static final int FRACTION_DIGITS = 3;
 
     private final CallerConnection connection;
 
@@ -74,6 +75,9 @@
     }
 
     private static String formatSeconds(Duration delay) {
-        return String.format(Locale.ROOT, "%.3f", delay.toMillis() / MILLISECONDS_PER_SECOND);
+        long milliseconds = Math.max(0, delay.toMillis());
+        return milliseconds / MILLISECONDS_PER_SECOND
+                + "."
+                + Strings.padStart(String.valueOf(milliseconds % MILLISECONDS_PER_SECOND), FRACTION_DIGITS, '0');
     }
 }
