--- a/relay/src/main/java/org/cowslippick/relay/caller/CallerConnections.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/CallerConnections.java
@@ -61,6 +61,10 @@
         return open.size();
     }
 
+    public long bufferedBytes() {
+        return bufferedBytes;
+    }
+
     boolean isDraining() {
         return draining;
     }
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
@@ -34,8 +34,11 @@
 import org.cowslippick.relay.log.LogLine;
 import org.cowslippick.relay.message.CallerRequest;
 import org.cowslippick.relay.message.RequestReader;
+import org.cowslippick.relay.metrics.RelayEvent;
+import org.cowslippick.relay.metrics.RequestMeasurement;
 import org.cowslippick.relay.slot.SlotListener;
 import org.cowslippick.scheduler.slot.AnswerOutcome;
+import org.cowslippick.scheduler.slot.EndpointNotice;
 import org.cowslippick.scheduler.slot.EndpointRateLimit;
 import org.cowslippick.scheduler.slot.SlotDecision;
 import org.cowslippick.scheduler.slot.SlotKey;
@@ -291,10 +294,25 @@
             admission.organisation().ifPresent(organisation -> context.quotas()
                     .refund(organisation, admission.quotaCost()));
         }
+        context.metrics().recordRequest(measurement(result));
         log(result, status);
         failure.ifPresent(exchange::fail);
     }
 
+    private RequestMeasurement measurement(String result) {
+        return new RequestMeasurement(
+                result,
+                admission.rank(),
+                admission.route().kind(),
+                sinceArrival(grantedAtNanos),
+                sinceArrival(firstChunkAtNanos),
+                Duration.ofNanos(now() - request.arrivedAtNanos()));
+    }
+
+    private Optional<Duration> sinceArrival(long atNanos) {
+        return atNanos == 0 ? Optional.empty() : Optional.of(Duration.ofNanos(atNanos - request.arrivedAtNanos()));
+    }
+
     private void log(String result, int status) {
         RequestLog.write(
                 request.attemptId(),
@@ -329,9 +347,7 @@
     }
 
     private long milliseconds(long atNanos) {
-        return atNanos == 0
-                ? -1
-                : Duration.ofNanos(atNanos - request.arrivedAtNanos()).toMillis();
+        return sinceArrival(atNanos).map(Duration::toMillis).orElse(-1L);
     }
 
     private long now() {
@@ -348,13 +364,19 @@
         if (isRetried && failIfQuarantined()) {
             return;
         }
-        if (isRetried && context.retries().tryAcquireRetry(admission.service())) {
+        if (isRetried && tryAcquireRetryBudget()) {
             requestSlot();
         } else {
             fail(notRunKind, RETRY_AFTER_REFUSAL);
         }
     }
 
+    private boolean tryAcquireRetryBudget() {
+        boolean isAcquired = context.retries().tryAcquireRetry(admission.service());
+        context.metrics().count(isAcquired ? RelayEvent.RETRY : RelayEvent.RETRY_DENIED);
+        return isAcquired;
+    }
+
     /** One dispatch to one endpoint, and its response. */
     private final class Attempt implements ResponseListener {
         private final LiveEndpoint endpoint;
@@ -388,6 +410,7 @@
         @Override
         public void connectFailed(String reason) {
             cause = reason;
+            context.metrics().count(RelayEvent.CONNECT_FAILED);
             triedEndpoints.remove(endpoint.id());
             release(AnswerOutcome.UNREACHABLE);
             if (!finished) {
@@ -399,12 +422,16 @@
         public void headReceived(HttpResponse received) {
             head = Optional.of(received);
             reportRateLimit(received);
-            EndpointNoticeReader.read(received, context.names(), now())
-                    .ifPresent(notice -> context.slots().reportNotice(endpoint, notice));
+            EndpointNoticeReader.read(received, context.names(), now()).ifPresent(this::reportNotice);
             streaming = admission.route().kind() == RouteKind.EVENT_STREAM
                     && received.status().codeClass() == HttpStatusClass.SUCCESS;
         }
 
+        private void reportNotice(EndpointNotice notice) {
+            context.metrics().count(notice.isLeaving() ? RelayEvent.ENDPOINT_LEAVING : RelayEvent.ENDPOINT_PAUSE);
+            context.slots().reportNotice(endpoint, notice);
+        }
+
         /** A response without a limit ends one only if the limit was known before the request was sent. */
         private void reportRateLimit(HttpResponse received) {
             String text = received.headers().get(context.names().rateLimit());
@@ -451,6 +478,7 @@
 
         @Override
         public void connectionLost(String reason) {
+            context.metrics().count(RelayEvent.CONNECTION_LOST);
             if (!answered) {
                 context.crashes().requestBroken(endpoint, contents);
             }
@@ -572,7 +600,7 @@
         private boolean tryAcquireRetry() {
             return admission.route().allowsRetryAfterStart()
                     && triedEndpoints.size() < admission.route().maximumEndpoints()
-                    && context.retries().tryAcquireRetry(admission.service());
+                    && tryAcquireRetryBudget();
         }
 
         private boolean isRefusal(HttpResponse received) {
@@ -581,6 +609,7 @@
         }
 
         private void handleRefusal(HttpResponseStatus status) {
+            context.metrics().count(RelayEvent.ENDPOINT_REFUSED);
             cause = "the endpoint refused the request with " + status.code();
             mayHaveRun = mayHaveRunEarlier;
             if (status.equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardingContext.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardingContext.java
@@ -6,6 +6,7 @@
 import org.cowslippick.relay.crash.CrashDetector;
 import org.cowslippick.relay.endpoint.EndpointConnections;
 import org.cowslippick.relay.message.HeaderNames;
+import org.cowslippick.relay.metrics.RelayMetrics;
 import org.cowslippick.relay.slot.SlotBroker;
 import org.cowslippick.relay.time.LoopMonitor;
 
@@ -19,4 +20,5 @@
         EndpointConnections connections,
         CrashDetector crashes,
         QuotaLimiter quotas,
-        RetryBudget retries) {}
+        RetryBudget retries,
+        RelayMetrics metrics) {}
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/RequestForwarder.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/RequestForwarder.java
@@ -75,6 +75,7 @@
                         .with(
                                 "retryAfterMs",
                                 failure.retryAfter().map(Duration::toMillis).orElse(-1L)));
+        context.metrics().countRefusal(failure.kind().text());
         exchange.fail(failure);
         return NO_OP_LISTENER;
     }
--- /dev/null
+++ b/relay/src/main/java/org/cowslippick/relay/metrics/RelayEvent.java
@@ -0,0 +1,31 @@
+package org.cowslippick.relay.metrics;
+
+/** Events that are counted. */
+public enum RelayEvent {
+    RETRY("retries", "Dispatches of a request to a further endpoint."),
+    RETRY_DENIED("retries_denied", "Retries that the retry budget did not allow."),
+    CONNECT_FAILED("endpoint_connects_failed", "Connections to endpoints that could not be opened."),
+    CONNECTION_LOST("endpoint_connections_lost", "Connections to endpoints that broke during a response."),
+    ENDPOINT_REFUSED("endpoint_refusals", "Requests that an endpoint refused without running them."),
+    ENDPOINT_LEAVING("endpoint_leaving_notices", "Responses whose endpoint said that it leaves."),
+    ENDPOINT_PAUSE("endpoint_pause_notices", "Refusals whose endpoint asked for a pause."),
+    STORE_ANSWERED("store_calls_answered", "Calls to the store that succeeded."),
+    STORE_FAILED("store_calls_failed", "Calls to the store that failed or had no answer in time.");
+
+    private final String metric;
+    private final String help;
+
+    RelayEvent(String metric, String help) {
+        this.metric = "cowslippick_" + metric;
+        this.help = help;
+    }
+
+    /** The name of its counter, without the suffix that the text format adds. */
+    public String metric() {
+        return metric;
+    }
+
+    public String help() {
+        return help;
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/cowslippick/relay/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Metrics of an instance in the Prometheus text format. */
+package org.cowslippick.relay.metrics;
--- a/relay/src/main/java/org/cowslippick/relay/peer/FleetMembership.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/FleetMembership.java
@@ -141,6 +141,20 @@
                 .build();
     }
 
+    /** The number of live instances, including this one. */
+    public int memberCount() {
+        return members().size();
+    }
+
+    /** Whether this instance reads the store for others. */
+    public boolean isCollector() {
+        return isCollector;
+    }
+
+    public long ownedPoolCount() {
+        return localQueues.pools().stream().filter(owns).count();
+    }
+
     /** The instances that this one reports to; empty until the first report. */
     ImmutableSet<InstanceName> reportReceivers() {
         return reportReceivers;
--- a/relay/src/main/java/org/cowslippick/relay/slot/LocalSlotQueues.java
+++ b/relay/src/main/java/org/cowslippick/relay/slot/LocalSlotQueues.java
@@ -121,6 +121,16 @@
         return queue(pool).load(timer.nanoTime());
     }
 
+    /** The load of all queues of this instance together. */
+    public PoolLoad totalLoad() {
+        return queues.keySet().stream()
+                .map(this::load)
+                .reduce(
+                        new PoolLoad(0, 0),
+                        (one, other) ->
+                                new PoolLoad(one.freeSlots() + other.freeSlots(), one.waiting() + other.waiting()));
+    }
+
     /** Advances the queues periodically only while a request waits; an empty queue has nothing to decide. */
     private void scheduleAdvance() {
         if (!advanceScheduled && queues.values().stream().anyMatch(queue -> queue.waitingCount() > 0)) {
--- a/relay/src/main/java/org/cowslippick/relay/time/LoopMonitor.java
+++ b/relay/src/main/java/org/cowslippick/relay/time/LoopMonitor.java
@@ -1,5 +1,6 @@
 package org.cowslippick.relay.time;
 
+import com.google.common.collect.Comparators;
 import io.netty.channel.SingleThreadEventLoop;
 import java.time.Duration;
 import java.util.Optional;
@@ -33,6 +34,7 @@
     private long dueNanos;
     private Optional<Long> behindSinceNanos = Optional.empty();
     private long delays;
+    private Duration longestDelay = Duration.ZERO;
 
     /** Starts to measure. All methods must be called on the event loop. */
     public LoopMonitor(SingleThreadEventLoop loop, TimerService timer) {
@@ -48,6 +50,13 @@
         return Duration.ofNanos(now - behindSinceNanos.orElseGet(() -> isOverdue(now) ? dueNanos : now));
     }
 
+    /** The longest delay of the loop since the last call. */
+    public Duration takeLongestDelay() {
+        Duration longest = longestDelay;
+        longestDelay = Duration.ZERO;
+        return longest;
+    }
+
     /** Runs the task when everything is read that has arrived by now: at once if the loop keeps up. */
     public void afterReading(Runnable task) {
         if (lag().isZero()) {
@@ -68,7 +77,9 @@
             behindSinceNanos = Optional.of(dueNanos);
             long measured = delays;
             afterIterations(ITERATIONS_TO_CATCH_UP, () -> caughtUp(measured));
-            log(Duration.ofNanos(now - dueNanos));
+            Duration delay = Duration.ofNanos(now - dueNanos);
+            longestDelay = Comparators.max(longestDelay, delay);
+            log(delay);
         }
         dueNanos = now + PERIOD.toNanos();
     }
--- a/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
@@ -18,6 +18,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.cowslippick.core.routing.CallerLimits;
 import org.cowslippick.core.routing.LiveEndpoint;
@@ -45,6 +46,7 @@
 import org.cowslippick.relay.limit.SharedRetryBudget;
 import org.cowslippick.relay.message.HeaderNames;
 import org.cowslippick.relay.message.RequestReader;
+import org.cowslippick.relay.metrics.RelayMetrics;
 import org.cowslippick.relay.slot.LocalSlotQueues;
 import org.cowslippick.relay.slot.SlotBroker;
 import org.cowslippick.relay.slot.SlotListener;
@@ -88,6 +90,7 @@
     private final CallerConnections callers;
     private final HostAndPort address;
     private final LoopClock clock;
+    private final RelayMetrics metrics = new RelayMetrics();
 
     RelayHarness(ScriptedEngine... engines) throws IOException, InterruptedException {
         SingleThreadEventLoop loop = (SingleThreadEventLoop) loops.next();
@@ -105,7 +108,8 @@
                 connections,
                 new CrashDetector(new InstanceName("front-1"), new Incarnation(1), timer, connections::probe),
                 new SharedQuotas(timer, new QuotaTolerance(Duration.ofSeconds(8), 0.1, 0)),
-                new SharedRetryBudget(0.2, 50)));
+                new SharedRetryBudget(0.2, 50),
+                metrics));
         this.callers =
                 new CallerConnections(() -> table().limits(), timer, monitor, new RequestReader(NAMES), forwarder);
         this.address = HostAndPort.fromParts("127.0.0.1", freePort());
@@ -159,6 +163,10 @@
         }
     }
 
+    String metrics() throws ExecutionException, InterruptedException {
+        return loops.next().submit(metrics::text).get();
+    }
+
     static void send(Socket socket, String method, String path, String headers, String body) throws IOException {
         String request = method + " " + path + " HTTP/1.1\r\nHost: example.org\r\nX-Key: key\r\n"
                 + (headers.contains("X-Attempt: ") ? "" : "X-Attempt: a1\r\n") + "Connection: close\r\n" + headers
