--- a/fleet/src/main/java/org/cowslippick/fleet/wire/MessageType.java
+++ b/fleet/src/main/java/org/cowslippick/fleet/wire/MessageType.java
@@ -18,6 +18,17 @@
         }
     }
 
+    /** By the number, which identifies a type; the generated method would hash codecs, and is slow at its first use. */
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof MessageType<?> type && type.number == number;
+    }
+
+    @Override
+    public int hashCode() {
+        return number;
+    }
+
     /** Whether a receiver that does not know the number skips the message. */
     public static boolean isSkippable(int number) {
         return number >= FIRST_SKIPPABLE_NUMBER;
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
@@ -35,7 +35,6 @@
 import org.cowslippick.relay.message.CallerRequest;
 import org.cowslippick.relay.message.RequestReader;
 import org.cowslippick.relay.metrics.RelayEvent;
-import org.cowslippick.relay.metrics.RequestMeasurement;
 import org.cowslippick.relay.slot.SlotListener;
 import org.cowslippick.scheduler.slot.AnswerOutcome;
 import org.cowslippick.scheduler.slot.EndpointNotice;
@@ -84,10 +83,7 @@
     private boolean mayHaveRun;
     private boolean responseStarted;
     private boolean finished;
-    private long grantedAtNanos;
-    private long lastChunkAtNanos;
-    private long longestPauseNanos;
-    private long firstChunkAtNanos;
+    private final RequestTimes times;
 
     ForwardedRequest(ForwardingContext context, CallerRequest request, CallerExchange exchange, Admission admission) {
         this.context = context;
@@ -95,6 +91,7 @@
         this.exchange = exchange;
         this.admission = admission;
         this.contents = request.contents();
+        this.times = new RequestTimes(request.arrivedAtNanos());
         this.expiresAtNanos =
                 request.arrivedAtNanos() + admission.timeout(request).toNanos();
     }
@@ -123,7 +120,7 @@
             context.slots().release(grant.request().key(), AnswerOutcome.SOUND);
             return;
         }
-        grantedAtNanos = now();
+        times.granted(now());
         Attempt newAttempt = new Attempt(grant);
         attempt = Optional.of(newAttempt);
         triedEndpoints.add(grant.endpoint().id());
@@ -294,62 +291,13 @@
             admission.organisation().ifPresent(organisation -> context.quotas()
                     .refund(organisation, admission.quotaCost()));
         }
-        context.metrics().recordRequest(measurement(result));
-        log(result, status);
+        context.metrics()
+                .recordRequest(times.measurement(
+                        result, admission.rank(), admission.route().kind(), now()));
+        RequestLog.ended(request, admission, result, status, triedEndpoints, cause, times, now());
         failure.ifPresent(exchange::fail);
     }
 
-    private RequestMeasurement measurement(String result) {
-        return new RequestMeasurement(
-                result,
-                admission.rank(),
-                admission.route().kind(),
-                sinceArrival(grantedAtNanos),
-                sinceArrival(firstChunkAtNanos),
-                Duration.ofNanos(now() - request.arrivedAtNanos()));
-    }
-
-    private Optional<Duration> sinceArrival(long atNanos) {
-        return atNanos == 0 ? Optional.empty() : Optional.of(Duration.ofNanos(atNanos - request.arrivedAtNanos()));
-    }
-
-    private void log(String result, int status) {
-        RequestLog.write(
-                request.attemptId(),
-                result.equals("answered"),
-                LogLine.of("request")
-                        .with("id", request.attemptId())
-                        .with("result", result)
-                        .with("status", status)
-                        .with("route", admission.route().name())
-                        .with("configuration", admission.version())
-                        .with(
-                                "organisation",
-                                admission
-                                        .organisation()
-                                        .map(organisation -> organisation.name().value())
-                                        .orElse(""))
-                        .with("rank", admission.rank())
-                        .with("routeRank", admission.route().rank())
-                        .with("fingerprint", Long.toHexString(request.fingerprint()))
-                        .with("remainingMs", request.remainingMilliseconds().orElse(-1L))
-                        .with("targetMs", admission.route().target().toMillis())
-                        .with("promptTokens", request.promptTokens())
-                        .with("sharedParts", String.join(",", request.sharedParts()))
-                        .with("sentTo", String.join(",", triedEndpoints))
-                        .with("cause", cause)
-                        .with("waitedMs", milliseconds(grantedAtNanos))
-                        .with("firstMs", milliseconds(firstChunkAtNanos))
-                        .with(
-                                "longestPauseMs",
-                                Duration.ofNanos(longestPauseNanos).toMillis())
-                        .with("totalMs", milliseconds(now())));
-    }
-
-    private long milliseconds(long atNanos) {
-        return sinceArrival(atNanos).map(Duration::toMillis).orElse(-1L);
-    }
-
     private long now() {
         return context.timer().nanoTime();
     }
@@ -521,10 +469,9 @@
                     return;
                 }
                 responseStarted = true;
-                firstChunkAtNanos = now();
                 exchange.startResponse(received.status(), RequestReader.responseHeaders(received.headers()));
             }
-            recordPause();
+            times.partForwarded(now());
             chunks++;
             if (chunks == ANSWERED_CHUNKS) {
                 recordAnswered();
@@ -533,14 +480,6 @@
             exchange.sendChunk(Unpooled.wrappedBuffer(complete));
         }
 
-        private void recordPause() {
-            long at = now();
-            if (lastChunkAtNanos > 0) {
-                longestPauseNanos = Math.max(longestPauseNanos, at - lastChunkAtNanos);
-            }
-            lastChunkAtNanos = at;
-        }
-
         /** Records that the endpoint did not crash when it began to answer. */
         private void recordAnswered() {
             if (!answered) {
@@ -584,7 +523,7 @@
                 requestSlot();
                 return;
             }
-            firstChunkAtNanos = now();
+            times.partForwarded(now());
             context.slots().responseStarted(slot);
             release(isServerError ? AnswerOutcome.ERROR_ANSWER : AnswerOutcome.SOUND);
             exchange.respond(
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/RequestForwarder.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/RequestForwarder.java
@@ -9,7 +9,6 @@
 import org.cowslippick.relay.caller.CallerExchange;
 import org.cowslippick.relay.caller.CallerListener;
 import org.cowslippick.relay.caller.RequestHandler;
-import org.cowslippick.relay.log.LogLine;
 import org.cowslippick.relay.message.CallerRequest;
 import org.cowslippick.scheduler.overload.BacklogAdmission;
 
@@ -62,19 +61,7 @@
     }
 
     private CallerListener refuse(CallerRequest request, CallerExchange exchange, Failure failure) {
-        RequestLog.write(
-                request.attemptId(),
-                false,
-                LogLine.of("request")
-                        .with("id", request.attemptId())
-                        .with("result", failure.kind().text())
-                        .with("status", failure.kind().httpStatus())
-                        .with("configuration", context.routing().get().version())
-                        .with("path", request.path())
-                        .with("detail", failure.detail())
-                        .with(
-                                "retryAfterMs",
-                                failure.retryAfter().map(Duration::toMillis).orElse(-1L)));
+        RequestLog.refused(request, failure, context.routing().get().version());
         context.metrics().countRefusal(failure.kind().text());
         exchange.fail(failure);
         return NO_OP_LISTENER;
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/RequestLog.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/RequestLog.java
@@ -1,6 +1,11 @@
 package org.cowslippick.relay.forwarding;
 
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import org.cowslippick.core.error.Failure;
 import org.cowslippick.relay.log.LogLine;
+import org.cowslippick.relay.message.CallerRequest;
 import org.jboss.logging.Logger;
 
 /**
@@ -10,13 +15,64 @@
 final class RequestLog {
 
     private static final Logger LOGGER = Logger.getLogger("cowslippick.request");
+    private static final String ANSWERED = "answered";
     private static final int SUCCESSES_PER_LINE = 8;
 
     private RequestLog() {}
 
-    static void write(String id, boolean success, LogLine line) {
-        if (!success || Math.floorMod(id.hashCode(), SUCCESSES_PER_LINE) == 0) {
-            LOGGER.info(line);
+    /** Logs a request that was refused on arrival. */
+    static void refused(CallerRequest request, Failure failure, long configurationVersion) {
+        LOGGER.info(LogLine.of("request")
+                .with("id", request.attemptId())
+                .with("result", failure.kind().text())
+                .with("status", failure.kind().httpStatus())
+                .with("configuration", configurationVersion)
+                .with("path", request.path())
+                .with("detail", failure.detail())
+                .with("retryAfterMs", milliseconds(failure.retryAfter())));
+    }
+
+    /** Logs the end of a request that was admitted. */
+    static void ended(
+            CallerRequest request,
+            Admission admission,
+            String result,
+            int status,
+            Set<String> sentTo,
+            String cause,
+            RequestTimes times,
+            long nowNanos) {
+        if (result.equals(ANSWERED) && Math.floorMod(request.attemptId().hashCode(), SUCCESSES_PER_LINE) != 0) {
+            return;
         }
+        LOGGER.info(LogLine.of("request")
+                .with("id", request.attemptId())
+                .with("result", result)
+                .with("status", status)
+                .with("route", admission.route().name())
+                .with("configuration", admission.version())
+                .with(
+                        "organisation",
+                        admission
+                                .organisation()
+                                .map(organisation -> organisation.name().value())
+                                .orElse(""))
+                .with("rank", admission.rank())
+                .with("routeRank", admission.route().rank())
+                .with("fingerprint", Long.toHexString(request.fingerprint()))
+                .with("remainingMs", request.remainingMilliseconds().orElse(-1L))
+                .with("targetMs", admission.route().target().toMillis())
+                .with("promptTokens", request.promptTokens())
+                .with("sharedParts", String.join(",", request.sharedParts()))
+                .with("sentTo", String.join(",", sentTo))
+                .with("cause", cause)
+                .with("waitedMs", milliseconds(times.waited()))
+                .with("firstMs", milliseconds(times.first()))
+                .with("longestPauseMs", times.longestPause().toMillis())
+                .with("totalMs", times.sinceArrival(nowNanos).toMillis()));
+    }
+
+    private static long milliseconds(Optional<Duration> duration) {
+        return duration.map(Duration::toMillis).orElse(-1L);
     }
 }
--- a/relay/src/main/java/org/cowslippick/relay/peer/FleetSlotBroker.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/FleetSlotBroker.java
@@ -69,6 +69,7 @@
 
     private final Map<InstanceName, Incarnation> incarnations = new HashMap<>();
     private final PoolOwners owners;
+    private final EndpointNoticeExchange notices;
     private final Region localRegion;
     private long lastNumber;
 
@@ -87,6 +88,7 @@
         this.localRegion = self.region();
         this.poolSelector = new PoolSelector(localRegion);
         this.owners = new PoolOwners(self.name(), fleet::members);
+        this.notices = new EndpointNoticeExchange(this.self, fleet, localQueues, owners, timer, network);
         network.subscribe(SlotMessages.Acquire.class, this::onAcquire);
         network.subscribe(SlotMessages.Adopt.class, this::onAdopt);
         network.subscribe(
@@ -103,7 +105,6 @@
         network.subscribe(SlotMessages.Refused.class, this::onRefused);
         network.subscribe(SlotMessages.Queued.class, this::onQueued);
         network.subscribe(SlotMessages.RateLimitReported.class, this::onRateLimitReported);
-        network.subscribe(SlotMessages.NoticeReported.class, this::onNoticeReported);
         localQueues.setOwnership(pool -> owners.designatedOwner(pool).equals(this.self));
         fleet.start(network, pool -> owner(pool).equals(this.self), this::reassign);
     }
@@ -156,63 +157,20 @@
                     .with(
                             "requestsPerSecond",
                             requestsPerSecond.map(String::valueOf).orElse("none"))
-                    .with("owner", owner(pool(endpoint)).value()));
+                    .with("owner", owner(SlotPool.of(endpoint)).value()));
         }
-        localQueues.recordRateLimit(pool(endpoint), endpoint.id(), limit);
-        sendRateLimit(owner(pool(endpoint)), endpoint, limit);
+        localQueues.recordRateLimit(SlotPool.of(endpoint), endpoint.id(), limit);
+        sendRateLimit(owner(SlotPool.of(endpoint)), endpoint, limit);
     }
 
     @Override
     public void reportNotice(LiveEndpoint endpoint, EndpointNotice notice) {
-        SlotPool pool = pool(endpoint);
-        if (!localQueues.recordNotice(pool, endpoint, self, notice)) {
-            return;
-        }
-        LOGGER.info(LogLine.of("endpoint-notice")
-                .with("endpoint", endpoint.id())
-                .with("leaving", notice.isLeaving())
-                .with(
-                        "pauseMs",
-                        notice.pausedUntilNanos()
-                                .map(until -> Duration.ofNanos(until - timer.nanoTime())
-                                        .toMillis())
-                                .orElse(0L))
-                .with("owner", owner(pool).value()));
-        if (owner(pool).equals(self)) {
-            spreadLeaving(pool, endpoint, notice, self);
-        } else {
-            sendNotice(owner(pool), endpoint, notice);
-        }
+        notices.report(endpoint, notice);
     }
 
     @Override
     public boolean isBlocked(LiveEndpoint endpoint) {
-        return localQueues.obstacle(pool(endpoint), endpoint, self).isPresent();
-    }
-
-    private void sendNotice(InstanceName receiver, LiveEndpoint endpoint, EndpointNotice notice) {
-        send(receiver, SlotMessages.NoticeReported.of(pool(endpoint), endpoint, notice, timer.nanoTime()));
-    }
-
-    private void onNoticeReported(PeerIdentity sender, SlotMessages.NoticeReported message) {
-        EndpointNotice notice = message.toNotice(timer.nanoTime());
-        boolean isNew = localQueues.recordNotice(message.pool(), message.endpoint(), sender.name(), notice);
-        if (isNew && owner(message.pool()).equals(self)) {
-            spreadLeaving(message.pool(), message.endpoint(), notice, sender.name());
-        }
-    }
-
-    /** Tells all others that an endpoint leaves, as they decide alone while they cannot reach the owner of its pool. */
-    private void spreadLeaving(SlotPool pool, LiveEndpoint endpoint, EndpointNotice notice, InstanceName source) {
-        if (!notice.isLeaving()) {
-            return;
-        }
-        SlotMessages.NoticeReported message =
-                SlotMessages.NoticeReported.of(pool, endpoint, EndpointNotice.LEAVING, timer.nanoTime());
-        fleet.members().stream()
-                .map(Instance::name)
-                .filter(name -> !name.equals(self) && !name.equals(source))
-                .forEach(name -> send(name, message));
+        return notices.obstacle(endpoint).isPresent();
     }
 
     private void sendRateLimit(InstanceName owner, LiveEndpoint endpoint, EndpointRateLimit limit) {
@@ -220,7 +178,9 @@
             send(
                     owner,
                     new SlotMessages.RateLimitReported(
-                            pool(endpoint), endpoint.id(), SlotMessages.AgedRateLimit.of(limit, timer.nanoTime())));
+                            SlotPool.of(endpoint),
+                            endpoint.id(),
+                            SlotMessages.AgedRateLimit.of(limit, timer.nanoTime())));
         }
     }
 
@@ -238,10 +198,6 @@
         rateLimits.keySet().retainAll(known);
     }
 
-    private static SlotPool pool(LiveEndpoint endpoint) {
-        return new SlotPool(endpoint.service(), endpoint.failureDomain().region());
-    }
-
     @Override
     public void release(SlotKey key, AnswerOutcome outcome) {
         Optional.ofNullable(localRequests.remove(key)).ifPresent(localRequest -> {
@@ -389,9 +345,9 @@
             return;
         }
         localRequest.get().cancelTimeout();
-        Optional<EndpointNotice> obstacle = localQueues.obstacle(message.pool(), endpoint, self);
+        Optional<EndpointNotice> obstacle = notices.obstacle(endpoint);
         if (obstacle.isPresent()) {
-            sendNotice(sender.name(), endpoint, obstacle.get());
+            notices.send(sender.name(), endpoint, obstacle.get());
             send(sender.name(), new SlotMessages.Released(message.pool(), message.number(), AnswerOutcome.SOUND));
             requestSlot(localRequest.get());
             return;
--- a/relay/src/main/java/org/cowslippick/relay/peer/SlotMessages.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/SlotMessages.java
@@ -250,15 +250,11 @@
     }
 
     /** Tells another instance what an endpoint said about itself in a response to the sender. */
-    record NoticeReported(SlotPool pool, LiveEndpoint endpoint, boolean isLeaving, Optional<Long> pauseNanos)
-            implements PeerMessage {
+    record NoticeReported(LiveEndpoint endpoint, boolean isLeaving, Optional<Long> pauseNanos) implements PeerMessage {
 
-        static NoticeReported of(SlotPool pool, LiveEndpoint endpoint, EndpointNotice notice, long nowNanos) {
+        static NoticeReported of(LiveEndpoint endpoint, EndpointNotice notice, long nowNanos) {
             return new NoticeReported(
-                    pool,
-                    endpoint,
-                    notice.isLeaving(),
-                    notice.pausedUntilNanos().map(until -> until - nowNanos));
+                    endpoint, notice.isLeaving(), notice.pausedUntilNanos().map(until -> until - nowNanos));
         }
 
         EndpointNotice toNotice(long nowNanos) {
@@ -266,7 +262,6 @@
         }
 
         private static void encode(NoticeReported message, MessageWriter writer) {
-            encodePool(message.pool, writer);
             StateSyncMessages.encodeEndpoint(message.endpoint, writer);
             writer.writeBoolean(message.isLeaving);
             writer.writeBoolean(message.pauseNanos.isPresent());
@@ -275,7 +270,6 @@
 
         private static NoticeReported decode(MessageReader reader) {
             return new NoticeReported(
-                    decodePool(reader),
                     StateSyncMessages.decodeEndpoint(reader),
                     reader.readBoolean(),
                     reader.readBoolean() ? Optional.of(reader.readLong()) : Optional.empty());
--- a/relay/src/main/java/org/cowslippick/relay/slot/LocalSlotQueues.java
+++ b/relay/src/main/java/org/cowslippick/relay/slot/LocalSlotQueues.java
@@ -48,17 +48,17 @@
     }
 
     /**
-     * Records what an endpoint of the pool said about itself in a response to an instance.
+     * Records what an endpoint said about itself in a response to an instance.
      *
      * @return whether it says anything new
      */
-    public boolean recordNotice(SlotPool pool, LiveEndpoint endpoint, InstanceName instance, EndpointNotice notice) {
-        return queue(pool).recordNotice(endpoint, instance, notice);
+    public boolean recordNotice(LiveEndpoint endpoint, InstanceName instance, EndpointNotice notice) {
+        return queue(SlotPool.of(endpoint)).recordNotice(endpoint, instance, notice);
     }
 
-    /** What an endpoint of the pool said to the instance that forbids to send it a request now. */
-    public Optional<EndpointNotice> obstacle(SlotPool pool, LiveEndpoint endpoint, InstanceName instance) {
-        return queue(pool).obstacle(endpoint, instance, timer.nanoTime());
+    /** What the endpoint said to the instance that forbids to send it a request now. */
+    public Optional<EndpointNotice> obstacle(LiveEndpoint endpoint, InstanceName instance) {
+        return queue(SlotPool.of(endpoint)).obstacle(endpoint, instance, timer.nanoTime());
     }
 
     /** Requests a slot; the listener is called once, possibly before this method returns. */
@@ -99,10 +99,7 @@
     /** Replaces the registered endpoints. */
     public void replaceEndpoints(ImmutableList<LiveEndpoint> current) {
         endpoints = current.stream()
-                .collect(ImmutableListMultimap.toImmutableListMultimap(
-                        endpoint -> new SlotPool(
-                                endpoint.service(), endpoint.failureDomain().region()),
-                        endpoint -> endpoint));
+                .collect(ImmutableListMultimap.toImmutableListMultimap(SlotPool::of, endpoint -> endpoint));
         endpoints.keySet().forEach(this::queue);
         ImmutableList.copyOf(queues.keySet())
                 .forEach(pool -> deliver(queue(pool).replaceEndpoints(endpoints.get(pool), timer.nanoTime())));
--- a/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
@@ -278,12 +278,12 @@
 
         @Override
         public void reportNotice(LiveEndpoint endpoint, EndpointNotice notice) {
-            localQueues.recordNotice(POOL, endpoint, INSTANCE, notice);
+            localQueues.recordNotice(endpoint, INSTANCE, notice);
         }
 
         @Override
         public boolean isBlocked(LiveEndpoint endpoint) {
-            return localQueues.obstacle(POOL, endpoint, INSTANCE).isPresent();
+            return localQueues.obstacle(endpoint, INSTANCE).isPresent();
         }
 
         @Override
