--- a/relay/src/main/java/org/cowslippick/relay/forwarding/RequestForwarder.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/RequestForwarder.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import org.cowslippick.core.error.ErrorKind;
 import org.cowslippick.core.error.Failure;
 import org.cowslippick.core.routing.OrganisationAccess;
@@ -41,7 +42,8 @@
 
     private Optional<Failure> refuseIfBehind(Admission admission) {
         Duration lag = context.monitor().lag();
-        return BacklogAdmission.refusal(admission.rank(), lag)
+        return BacklogAdmission.refusal(
+                        admission.rank(), lag, ThreadLocalRandom.current().nextDouble())
                 .map(delay -> Failure.retryAfter(
                         ErrorKind.SHED, "this instance is behind by " + lag.toMillis() + " ms", delay));
     }
