--- a/cli/src/main/java/org/cowslippick/cli/CowslippickCommand.java
+++ b/cli/src/main/java/org/cowslippick/cli/CowslippickCommand.java
@@ -18,6 +18,15 @@
 /** The cowslippick command line: selects the subcommand, parses its options and prints its report or failure. */
 public final class CowslippickCommand {
 
+    /** Programs that bin/cowslippick runs from the source tree, outside this command line. */
+    private static final String DEVELOPER_PROGRAMS =
+            """
+            In the source tree also:
+              demo [--once]                 A fleet, a platform and engines in one process, and three requests.
+              bench NAME [--seed S]         The project's benches; without a name, their list.
+              soak SEED SECONDS [COUNT]     The fault soak of the operators' program.
+            """;
+
     private static final String ERROR_PREFIX = "cowslippick: ";
 
     private final ImmutableMap<String, String> environment;
@@ -116,7 +125,7 @@
                 .map(subcommand -> String.format("  %-" + width + "s  %s", subcommand.text(), subcommand.summary()))
                 .collect(Collectors.joining("\n"));
         return "cowslippick SUBCOMMAND [OPTIONS] [ARGUMENTS]; cowslippick SUBCOMMAND --help\n\n" + subcommands + "\n\n"
-                + exitCodeTable();
+                + DEVELOPER_PROGRAMS + "\n" + exitCodeTable();
     }
 
     private static String exitCodeTable() {
--- a/cli/src/main/java/org/cowslippick/cli/EntryCommand.java
+++ b/cli/src/main/java/org/cowslippick/cli/EntryCommand.java
@@ -3,9 +3,6 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.google.common.collect.ImmutableList;
 import io.vavr.control.Either;
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.Optional;
 import joptsimple.OptionParser;
 import org.cowslippick.core.settings.EntrySettings;
@@ -30,13 +27,8 @@
     }
 
     private static Either<CommandFailure, EntrySettings> readSettings(String file) {
-        try {
-            return EntrySettings.parse(Files.readString(Path.of(file)))
-                    .mapLeft(faults -> toCommandFailure(file, faults));
-        } catch (IOException unreadable) {
-            return Either.left(CommandFailure.usage(
-                    "option --settings: cannot read \"" + file + "\": " + unreadable.getMessage()));
-        }
+        return TextFiles.read(file)
+                .flatMap(text -> EntrySettings.parse(text).mapLeft(faults -> toCommandFailure(file, faults)));
     }
 
     private static CommandFailure toCommandFailure(String file, ImmutableList<SettingsFault> faults) {
--- a/cli/src/main/java/org/cowslippick/cli/operator/OperatorOptions.java
+++ b/cli/src/main/java/org/cowslippick/cli/operator/OperatorOptions.java
@@ -4,13 +4,11 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
 import io.vavr.control.Either;
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.util.Optional;
 import joptsimple.OptionParser;
 import org.cowslippick.cli.CommandFailure;
 import org.cowslippick.cli.Invocation;
+import org.cowslippick.cli.TextFiles;
 import org.cowslippick.core.settings.SettingType;
 
 /** The addresses that an operator's command connects to, and the credential that it sends. */
@@ -79,11 +77,6 @@
     }
 
     private static Either<CommandFailure, Optional<String>> readCredential(String file) {
-        try {
-            return Either.right(Optional.of(Files.readString(Path.of(file)).strip()));
-        } catch (IOException unreadable) {
-            return Either.left(CommandFailure.usage(
-                    "option --" + CREDENTIAL_FILE + ": cannot read \"" + file + "\": " + unreadable.getMessage()));
-        }
+        return TextFiles.read(file).map(text -> Optional.of(text.strip()));
     }
 }
--- a/cli/src/main/java/org/cowslippick/cli/operator/SettingsCommand.java
+++ b/cli/src/main/java/org/cowslippick/cli/operator/SettingsCommand.java
@@ -3,9 +3,6 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.google.common.collect.ImmutableList;
 import io.vavr.control.Either;
-import java.io.IOException;
-import java.nio.file.Files;
-import java.nio.file.Path;
 import java.time.Instant;
 import java.util.Optional;
 import java.util.stream.Stream;
@@ -16,6 +13,7 @@
 import org.cowslippick.cli.Invocation;
 import org.cowslippick.cli.Report;
 import org.cowslippick.cli.Table;
+import org.cowslippick.cli.TextFiles;
 import org.cowslippick.core.settings.Limits;
 import org.cowslippick.core.settings.ResolvedSetting;
 import org.cowslippick.core.settings.SectionKind;
@@ -200,11 +198,8 @@
     }
 
     private static Either<CommandFailure, SettingsDocument> readFile(String file) {
-        try {
-            return SettingsDocument.parse(Files.readString(Path.of(file))).mapLeft(SettingsCommand::toCommandFailure);
-        } catch (IOException unreadable) {
-            return Either.left(CommandFailure.usage("cannot read \"" + file + "\": " + unreadable.getMessage()));
-        }
+        return TextFiles.read(file)
+                .flatMap(text -> SettingsDocument.parse(text).mapLeft(SettingsCommand::toCommandFailure));
     }
 
     private static CommandFailure toCommandFailure(ImmutableList<SettingsFault> faults) {
--- a/cli/src/test/java/org/cowslippick/cli/CowslippickCommandTest.java
+++ b/cli/src/test/java/org/cowslippick/cli/CowslippickCommandTest.java
@@ -51,4 +51,31 @@
         assertTrue(run.errors().contains("entry.ini: line 2: [entry] name: \"a b\" is not"), run.errors());
         assertTrue(run.errors().contains("line 3: [x]: no such section"), run.errors());
     }
+
+    @Test
+    void helpNamesEveryProgram() {
+        String help = CommandRun.of(ImmutableMap.of(), "--help").output();
+        for (String program : new String[] {"entry", "settings", "demo", "bench", "soak"}) {
+            assertTrue(help.contains("  " + program + " "), program);
+        }
+    }
+
+    @Test
+    void longValueIsCutInItsError(@TempDir Path directory) throws Exception {
+        Path file = directory.resolve("entry.ini");
+        Files.writeString(file, "[entry]\nname = " + "a ".repeat(1_000_000) + "\n");
+        CommandRun run = CommandRun.of(ImmutableMap.of(), "entry", "--settings", file.toString());
+        assertEquals(ExitCode.REFUSED, run.exitCode());
+        assertTrue(run.errors().contains("characters) is not"), run.errors().substring(0, 500));
+        assertTrue(run.errors().length() < 2_000);
+    }
+
+    @Test
+    void fileThatIsNoTextIsNamedAsSuch(@TempDir Path directory) throws Exception {
+        Path file = directory.resolve("entry.ini");
+        Files.write(file, new byte[] {(byte) 0xff, (byte) 0xfe, 0, 1});
+        CommandRun run = CommandRun.of(ImmutableMap.of(), "entry", "--settings", file.toString());
+        assertEquals(ExitCode.USAGE, run.exitCode());
+        assertTrue(run.errors().contains("entry.ini\" is not a text file in UTF-8"), run.errors());
+    }
 }
--- a/core/src/main/java/org/cowslippick/core/settings/SettingType.java
+++ b/core/src/main/java/org/cowslippick/core/settings/SettingType.java
@@ -108,6 +108,7 @@
         }
     };
 
+    private static final int MAXIMUM_DESCRIBED_CHARACTERS = 200;
     private static final int MINIMUM_SECRET_LENGTH_CHARACTERS = 16;
 
     private static final Pattern WHOLE_NUMBER = Pattern.compile("[0-9]{1,10}");
@@ -125,9 +126,11 @@
 
     abstract boolean accepts(String value);
 
-    /** Returns the value for use in error messages; secrets are redacted. */
+    /** Returns the value for use in error messages, cut if it is long; secrets are redacted. */
     String describe(String value) {
-        return "\"" + value + "\"";
+        return value.length() <= MAXIMUM_DESCRIBED_CHARACTERS
+                ? "\"" + value + "\""
+                : "\"" + value.substring(0, MAXIMUM_DESCRIBED_CHARACTERS) + "...\" (" + value.length() + " characters)";
     }
 
     /** Returns why the value is rejected, or empty if it is valid. */
--- a/standin/src/main/java/org/cowslippick/standin/StandinCommand.java
+++ b/standin/src/main/java/org/cowslippick/standin/StandinCommand.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.util.Arrays;
 import java.util.List;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 import org.cowslippick.standin.bench.BenchCommand;
 import org.cowslippick.standin.demo.DemoSubcommand;
 
@@ -16,6 +18,8 @@
 
     /** Runs the subcommand named by the first argument. */
     public static void main(String[] arguments) throws IOException, InterruptedException {
+        // Start and stop messages of the HTTP server are not part of the output.
+        Logger.getLogger("").setLevel(Level.WARNING);
         Thread.setDefaultUncaughtExceptionHandler(StandinCommand::handleUncaught);
         System.exit(run(List.copyOf(Arrays.asList(arguments))));
     }
