--- a/relay/src/main/java/org/cowslippick/relay/log/JsonLogHandler.java
+++ b/relay/src/main/java/org/cowslippick/relay/log/JsonLogHandler.java
@@ -1,7 +1,9 @@
 package org.cowslippick.relay.log;
 
 import com.google.common.base.Throwables;
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.PrintStream;
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
@@ -19,12 +21,16 @@
 public final class JsonLogHandler extends Handler {
 
     private static final int MAXIMUM_BUFFERED_RECORDS = 2_000;
+    private static final int MAXIMUM_WRITE_WAITS = 20;
+    private static final Duration WRITE_WAIT = Duration.ofMillis(20);
     private static final Level LIBRARY_LEVEL = Level.WARNING;
     private static final String OWN_LOGGER_NAME = "cowslippick";
 
     /** Strongly referenced, as the log manager may otherwise discard the logger with its level. */
     private static Logger ownLogger;
 
+    private static JsonLogHandler installed;
+
     private final String instance;
     private final PrintStream output;
     private final BlockingQueue<LogRecord> buffer = new ArrayBlockingQueue<>(MAXIMUM_BUFFERED_RECORDS);
@@ -38,6 +44,7 @@
     /** Replaces the handlers of the root logger; libraries log from level WARNING on. */
     public static void install(String instance, PrintStream output) {
         JsonLogHandler handler = new JsonLogHandler(instance, output);
+        installed = handler;
         Logger root = LogManager.getLogManager().getLogger("");
         Arrays.stream(root.getHandlers()).forEach(root::removeHandler);
         root.addHandler(handler);
@@ -49,6 +56,15 @@
         writer.start();
     }
 
+    /** Gives the writer time to write the records that are buffered; for the end of a process. */
+    public static void awaitWritten() {
+        int waits = 0;
+        do {
+            Uninterruptibles.sleepUninterruptibly(WRITE_WAIT);
+            waits++;
+        } while (waits < MAXIMUM_WRITE_WAITS && installed != null && !installed.buffer.isEmpty());
+    }
+
     @Override
     public void publish(LogRecord logRecord) {
         if (!buffer.offer(logRecord)) {
