--- a/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnections.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnections.java
@@ -179,7 +179,7 @@
         private void start(
                 EndpointConnection opened, Supplier<Optional<Dispatch>> dispatch, ResponseListener listener) {
             connection = Optional.of(opened);
-            dispatch.get().ifPresent(present -> opened.send(present, listener));
+            dispatch.get().ifPresentOrElse(present -> opened.send(present, listener), opened::close);
         }
 
         /** Closes the connection, which makes the endpoint cancel the request; the listener is not called again. */
