--- a/relay/src/main/java/org/cowslippick/relay/status/StatusServer.java
+++ b/relay/src/main/java/org/cowslippick/relay/status/StatusServer.java
@@ -4,6 +4,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -36,10 +37,14 @@
         this.listening = listening;
     }
 
-    /** Binds the address, and returns when it is bound. */
+    /**
+     * Binds the address, and returns when it is bound.
+     *
+     * @throws IllegalStateException if it cannot be bound
+     */
     public static StatusServer listen(
             HostAndPort address, EventLoopGroup loops, Function<QueryStringDecoder, StatusResponse> answers) {
-        Channel channel = new ServerBootstrap()
+        ChannelFuture binding = new ServerBootstrap()
                 .group(loops)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
@@ -55,9 +60,11 @@
                     }
                 })
                 .bind(address.getHost(), address.getPort())
-                .syncUninterruptibly()
-                .channel();
-        return new StatusServer(channel);
+                .awaitUninterruptibly();
+        if (!binding.isSuccess()) {
+            throw new IllegalStateException("cannot listen on " + address, binding.cause());
+        }
+        return new StatusServer(binding.channel());
     }
 
     /** Stops accepting connections. */
