A response without a length ends only with an orderly end of the connection

Cause: EndpointConnection took the end of the connection for the end of the response unless exceptionCaught had been called. Netty does not call it when a write finds the reset: it closes the channel, and the decoder ends the message.

Ruled out: a reset without a pending write, a close before a stated length or the last chunk; these were reported as broken before.

Change: the channel allows half closure, which makes the end of the input an event of its own, and only that event completes a response without a length. Why it works: the event comes from a read that returned the end of the stream; neither a failed read nor a failed write brings it.

--- a/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
@@ -50,7 +51,7 @@
     private boolean reusable;
     private boolean reused;
     private final Set<String> sentAttemptIds = new HashSet<>();
-    private boolean hasFailed;
+    private boolean endsWithConnection;
     private String closeCause = "connection closed";
     private long idleSinceNanos;
 
@@ -122,6 +123,13 @@
         }
     }
 
+    @Override
+    public void userEventTriggered(ChannelHandlerContext _context, Object event) {
+        if (event instanceof ChannelInputShutdownEvent) {
+            context.close();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext _context) {
         endRequest(present -> present.connectionLost(closeCause));
@@ -132,7 +140,6 @@
         if (!(cause instanceof IOException)) {
             LOGGER.error(LogLine.of("endpoint-connection-failed"), cause);
         }
-        hasFailed = true;
         closeCause = String.valueOf(cause.getMessage());
         context.close();
     }
@@ -187,6 +194,7 @@
         if (skippingResponse) {
             return;
         }
+        endsWithConnection = decoder.endsWithConnection(head);
         reusable = HttpUtil.isKeepAlive(head)
                 && (HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head));
         listener.ifPresent(present -> present.headReceived(head));
@@ -197,7 +205,8 @@
             skippingResponse = false;
             return;
         }
-        if (hasFailed) {
+        // The decoder also ends such a response after a reset, even if only a failed write has shown it.
+        if (endsWithConnection && !decoder.hasInputEnded()) {
             return;
         }
         Optional<ResponseListener> current = listener;
--- a/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnections.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnections.java
@@ -102,6 +102,7 @@
                 .group(loops)
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(handler);
     }
 
--- a/relay/src/test/java/org/cowslippick/relay/ScriptedEngine.java
+++ b/relay/src/test/java/org/cowslippick/relay/ScriptedEngine.java
@@ -6,6 +6,7 @@
 import java.io.InputStreamReader;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -37,6 +38,9 @@
 
     private static final int ENDLESS_BLOCK_BYTES = 1 << 14;
 
+    /** Keeps most of a long request body in the buffers of the relay while the engine does not read. */
+    private static final int RECEIVE_BUFFER_BYTES = 1 << 16;
+
     private final ServerSocket serverSocket;
     private final LinkedBlockingQueue<String> responses = new LinkedBlockingQueue<>();
     private final LinkedBlockingQueue<String> continuations = new LinkedBlockingQueue<>();
@@ -47,9 +51,12 @@
 
     private volatile String crashText = "";
     private volatile boolean repeatsResponses;
+    private volatile boolean respondsBeforeBody;
 
     ScriptedEngine(String... script) throws IOException {
-        this.serverSocket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        this.serverSocket = new ServerSocket();
+        serverSocket.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
+        serverSocket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
         responses.addAll(List.of(script));
         Thread thread = new Thread(this::accept, "engine");
         thread.setDaemon(true);
@@ -74,6 +81,12 @@
         return this;
     }
 
+    /** Makes the engine respond to the head of a request, and leave the body unread. */
+    ScriptedEngine withResponsesBeforeBody() {
+        respondsBeforeBody = true;
+        return this;
+    }
+
     HostAndPort address() {
         return HostAndPort.fromParts("127.0.0.1", serverSocket.getLocalPort());
     }
@@ -183,12 +196,12 @@
         }
     }
 
-    private static String readRequest(BufferedReader reader) throws IOException {
+    private String readRequest(BufferedReader reader) throws IOException {
         StringBuilder head = new StringBuilder();
         int length = 0;
         for (String line = reader.readLine(); line != null; line = reader.readLine()) {
             if (line.isEmpty()) {
-                for (int index = 0; index < length; index++) {
+                for (int index = 0; index < length && !respondsBeforeBody; index++) {
                     head.append((char) reader.read());
                 }
                 return head.toString();
