A stopping instance refuses requests that it could not finish

Callers of a machine that was stopped in calm lost requests that they had sent more than 3 s after SIGTERM: these reached an engine at once and were cut at the end of the grace period, also those that must not be repeated (LOST).

Cause: only idle connections were closed after 3 s; nothing refused a request. A stream whose head was written before the signal does not announce the close, and when it ends late, the next request on its connection was forwarded.

Ruled out as causes of their own: connections from the backlog, and slow bodies, which lack the same check.

Why it works: the decision is made by the time at which a request is complete, not by the state of its connection.

--- a/relay/src/main/java/org/cowslippick/relay/caller/CallerConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/CallerConnection.java
@@ -122,7 +122,11 @@
     }
 
     boolean isBusy() {
-        return responding || head.isPresent() || readingHead;
+        return responding || isReceiving();
+    }
+
+    private boolean isReceiving() {
+        return head.isPresent() || readingHead;
     }
 
     void closeIfIdle() {
@@ -132,6 +136,18 @@
         }
     }
 
+    void refuseIfWaiting() {
+        listener.ifPresent(CallerListener::refuseIfWaiting);
+    }
+
+    /** Ends the request in progress, or refuses the one that is being received. */
+    void terminate() {
+        listener.ifPresent(CallerListener::terminate);
+        if (isReceiving() && !closing) {
+            reject(ErrorKind.ENTRY_DRAINING, "this instance is about to exit");
+        }
+    }
+
     /** Rejects the request, or closes the connection, if the header or idle timeout has passed. */
     void enforceTimeouts(long nowNanos) {
         if (responding || closing) {
@@ -139,7 +155,7 @@
         }
         Duration elapsed = Duration.ofNanos(nowNanos - timeoutStartNanos);
         Duration headerTimeout = connections.limits().headerTimeout();
-        if ((readingHead || head.isPresent()) && elapsed.compareTo(headerTimeout) > 0) {
+        if (isReceiving() && elapsed.compareTo(headerTimeout) > 0) {
             reject(
                     ErrorKind.CALLER_TOO_SLOW,
                     "the request was not received within " + headerTimeout.toMillis() + " ms");
--- a/relay/src/main/java/org/cowslippick/relay/caller/CallerConnections.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/CallerConnections.java
@@ -52,6 +52,16 @@
         ImmutableList.copyOf(open).forEach(CallerConnection::closeIfIdle);
     }
 
+    /** Ends all requests that have not been sent to an endpoint yet. */
+    public void refuseWaiting() {
+        ImmutableList.copyOf(open).forEach(CallerConnection::refuseIfWaiting);
+    }
+
+    /** Ends all requests, as the process is about to exit. */
+    public void terminate() {
+        ImmutableList.copyOf(open).forEach(CallerConnection::terminate);
+    }
+
     /** The number of connections with a request in progress. */
     public long busyCount() {
         return open.stream().filter(CallerConnection::isBusy).count();
--- a/relay/src/main/java/org/cowslippick/relay/caller/CallerListener.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/CallerListener.java
@@ -7,4 +7,10 @@
 
     /** Called when the outbound buffer of the connection fills up or drains, for backpressure. */
     void writabilityChanged(boolean writable);
+
+    /** Ends the request if it would only now be sent to an endpoint. */
+    void refuseIfWaiting();
+
+    /** Ends the request with whatever response is still possible, as the process is about to exit. */
+    void terminate();
 }
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
@@ -113,6 +113,19 @@
         attempt.ifPresent(present -> present.handle.ifPresent(handle -> handle.setReading(writable)));
     }
 
+    @Override
+    public void refuseIfWaiting() {
+        if (waitingForSlot) {
+            terminate();
+        }
+    }
+
+    @Override
+    public void terminate() {
+        cause = "this instance is about to exit";
+        fail(ErrorKind.ENTRY_DRAINING, Duration.ZERO);
+    }
+
     @Override
     public void granted(SlotDecision.Granted grant) {
         waitingForSlot = false;
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/RequestForwarder.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/RequestForwarder.java
@@ -22,24 +22,45 @@
 
         @Override
         public void writabilityChanged(boolean _writable) {}
+
+        @Override
+        public void refuseIfWaiting() {}
+
+        @Override
+        public void terminate() {}
     };
 
     private final ForwardingContext context;
+    private Optional<Long> admissionEndNanos = Optional.empty();
 
     public RequestForwarder(ForwardingContext context) {
         this.context = context;
     }
 
+    /** Refuses requests from then on; callers may send them to another instance at once. */
+    public void admitUntil(long endNanos) {
+        admissionEndNanos = Optional.of(endNanos);
+    }
+
     @Override
     public CallerListener handle(CallerRequest request, CallerExchange exchange) {
         return Admission.of(request, context.routing().get())
-                .flatMap(admission -> refuseIfBehind(admission)
+                .flatMap(admission -> refuseIfStopping()
+                        .or(() -> refuseIfBehind(admission))
                         .or(() -> acquireQuota(admission))
                         .<Either<Failure, Admission>>map(Either::left)
                         .orElseGet(() -> Either.right(admission)))
                 .fold(failure -> refuse(request, exchange, failure), admission -> start(request, exchange, admission));
     }
 
+    private Optional<Failure> refuseIfStopping() {
+        long now = context.timer().nanoTime();
+        return admissionEndNanos
+                .filter(end -> now - end >= 0)
+                .map(_end ->
+                        Failure.retryAfter(ErrorKind.ENTRY_DRAINING, "this instance is about to exit", Duration.ZERO));
+    }
+
     private Optional<Failure> refuseIfBehind(Admission admission) {
         Duration lag = context.monitor().lag();
         return BacklogAdmission.refusal(
--- a/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
@@ -88,6 +88,7 @@
     private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
     private final CallerServer server;
     private final CallerConnections callers;
+    private final RequestForwarder forwarder;
     private final HostAndPort address;
     private final LoopClock clock;
     private final RelayMetrics metrics = new RelayMetrics();
@@ -99,7 +100,7 @@
         LoopMonitor monitor = new LoopMonitor(loop, clock);
         LocalSlotQueues localQueues = new LocalSlotQueues(timer);
         EndpointConnections connections = new EndpointConnections(loops, timer, monitor, NAMES.attemptId());
-        RequestForwarder forwarder = new RequestForwarder(new ForwardingContext(
+        this.forwarder = new RequestForwarder(new ForwardingContext(
                 timer,
                 monitor,
                 NAMES,
@@ -195,6 +196,26 @@
         loops.next().submit(callers::drain).sync();
     }
 
+    void stopAdmitting() throws InterruptedException {
+        loops.next().submit(() -> forwarder.admitUntil(System.nanoTime())).sync();
+    }
+
+    void closeIdle() throws InterruptedException {
+        loops.next().submit(callers::closeIdle).sync();
+    }
+
+    void refuseWaiting() throws InterruptedException {
+        loops.next().submit(callers::refuseWaiting).sync();
+    }
+
+    void terminate() throws InterruptedException {
+        loops.next().submit(callers::terminate).sync();
+    }
+
+    long busyCount() throws ExecutionException, InterruptedException {
+        return loops.next().submit(callers::busyCount).get();
+    }
+
     @Override
     public void close() {
         server.close();
