Only a sealed stream resumes a stream

Callers whose stream had begun and broke off got what the next engine said instead of the rest: the text of a page as events (MIXED), the end of a complete stream (ORDER), or nothing until the idle timeout, as a second head was written into the chunked response.

Cause: each response was judged as if it were the first. Only server errors had a case of their own.

Change: only a success with a seal and the content type of a stream resumes one; without an event it must state its length to complete it; a stream without an id is not resumed. Why it works: what is not the rest of the stream takes the path of a broken attempt, which another engine resumes or the close of the connection ends.

--- a/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
@@ -7,11 +7,13 @@
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
@@ -320,8 +322,9 @@
         attempt = Optional.empty();
         boolean hasEndpointsLeft = triedEndpoints.size() < admission.route().maximumEndpoints();
         boolean mayRetry = !mayHaveRun || admission.route().allowsRetryAfterStart();
+        boolean mayResume = !responseStarted || events.lastId().isPresent();
         boolean hasTimeLeft = expiresAtNanos - now() > 0;
-        boolean isRetried = mayRetry && hasEndpointsLeft && hasTimeLeft;
+        boolean isRetried = mayRetry && mayResume && hasEndpointsLeft && hasTimeLeft;
         if (isRetried && failIfQuarantined()) {
             return;
         }
@@ -349,6 +352,7 @@
         private boolean released;
         private boolean mayHaveRunEarlier;
         private boolean streaming;
+        private final boolean resumes = responseStarted;
         private int chunks;
         private boolean answered;
 
@@ -385,7 +389,15 @@
             reportRateLimit(received);
             EndpointNoticeReader.read(received, context.names(), now()).ifPresent(this::reportNotice);
             streaming = admission.route().kind() == RouteKind.EVENT_STREAM
-                    && received.status().codeClass() == HttpStatusClass.SUCCESS;
+                    && received.status().codeClass() == HttpStatusClass.SUCCESS
+                    && (!resumes || isSealedStream(received));
+        }
+
+        /** Whether the events of a response may follow those that another endpoint has sent. */
+        private boolean isSealedStream(HttpResponse received) {
+            return hasSeal(received)
+                    && HttpHeaderValues.TEXT_EVENT_STREAM.contentEqualsIgnoreCase(
+                            Optional.ofNullable(HttpUtil.getMimeType(received)).orElse(""));
         }
 
         private void reportNotice(EndpointNotice notice) {
@@ -507,6 +519,10 @@
                 connectionLost("the stream ended within an event");
                 return;
             }
+            if (chunks == 0 && !hasStatedEnd(head.orElseThrow())) {
+                connectionLost("the resumed stream ended without an event");
+                return;
+            }
             recordAnswered();
             release(AnswerOutcome.SOUND);
             exchange.endResponse();
@@ -519,6 +535,10 @@
                 handleRefusal(received.status());
                 return;
             }
+            if (resumes) {
+                failed("the endpoint responded with " + received.status().code() + " to a request to resume a stream");
+                return;
+            }
             recordAnswered();
             boolean isSuccess = received.status().codeClass() == HttpStatusClass.SUCCESS;
             if (isSuccess && !hasSeal(received)) {
@@ -526,10 +546,6 @@
                 return;
             }
             boolean isServerError = received.status().codeClass() == HttpStatusClass.SERVER_ERROR;
-            if (isServerError && responseStarted) {
-                failed("the endpoint responded with " + received.status().code() + " to a request to resume a stream");
-                return;
-            }
             if (isServerError && tryAcquireRetry()) {
                 cause = "the endpoint responded with " + received.status().code();
                 release(AnswerOutcome.ERROR_ANSWER);
@@ -573,6 +589,10 @@
             retryOrFail(ErrorKind.ENDPOINT_REFUSED);
         }
 
+        private boolean hasStatedEnd(HttpResponse received) {
+            return HttpUtil.isContentLengthSet(received) || HttpUtil.isTransferEncodingChunked(received);
+        }
+
         private boolean hasSeal(HttpResponse received) {
             return received.headers().contains(context.names().seal());
         }
--- a/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
@@ -170,7 +170,8 @@
 
     static void send(Socket socket, String method, String path, String headers, String body) throws IOException {
         String request = method + " " + path + " HTTP/1.1\r\nHost: example.org\r\nX-Key: key\r\n"
-                + (headers.contains("X-Attempt: ") ? "" : "X-Attempt: a1\r\n") + "Connection: close\r\n" + headers
+                + (headers.contains("X-Attempt: ") ? "" : "X-Attempt: a1\r\n")
+                + (headers.contains("Connection: ") ? "" : "Connection: close\r\n") + headers
                 + "Content-Length: " + body.length() + "\r\n\r\n" + body;
         socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
     }
