A connection is idle only when its last response is flushed

A caller that reads slowly could lose the end of a response that the relay had written, when idle connections were closed at a planned stop, and the process did not wait for it before its exit (LOST).

Cause: a connection counted as idle as soon as the end of its response was handed to Netty, which drops what is not flushed when the channel is closed. The close also cut the lingering of connections that were closing already.

Evidence: found by reading the path of the SIGTERM fault. Not reproduced over sockets: the send buffer of loopback takes a megabyte and more at once.

Change: unflushed responses are counted and make a connection busy; one that is closing is left alone. The idle timeout ends it as before. Why it works: the close of idle connections and the exit ask the same question, isBusy.

--- a/relay/src/main/java/org/cowslippick/relay/caller/CallerConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/CallerConnection.java
@@ -2,7 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.SocketChannel;
@@ -54,6 +54,7 @@
     private int reservedBytes;
     private boolean responding;
     private boolean closing;
+    private int unflushedResponses;
     private boolean readingHead;
     private long timeoutStartNanos;
     private long arrivedAtNanos;
@@ -121,8 +122,9 @@
         }
     }
 
+    /** Whether a request is in progress, or the end of its response is still to be flushed. */
     boolean isBusy() {
-        return responding || isReceiving();
+        return responding || unflushedResponses > 0 || isReceiving();
     }
 
     private boolean isReceiving() {
@@ -130,7 +132,7 @@
     }
 
     void closeIfIdle() {
-        if (!isBusy()) {
+        if (!isBusy() && !closing) {
             closing = true;
             context.close();
         }
@@ -159,8 +161,8 @@
             reject(
                     ErrorKind.CALLER_TOO_SLOW,
                     "the request was not received within " + headerTimeout.toMillis() + " ms");
-        } else if (!isBusy() && elapsed.compareTo(connections.limits().idleTimeout()) > 0) {
-            closeIfIdle();
+        } else if (!isReceiving() && elapsed.compareTo(connections.limits().idleTimeout()) > 0) {
+            abort();
         }
     }
 
@@ -179,12 +181,14 @@
         listener = Optional.empty();
         responding = false;
         timeoutStartNanos = connections.timer().nanoTime();
+        unflushedResponses++;
+        ChannelFuture written = context.writeAndFlush(message);
+        written.addListener(_done -> unflushedResponses--);
         if (closing) {
-            context.writeAndFlush(message).addListener((ChannelFutureListener) _done -> closeAfterLinger());
-            return;
+            written.addListener(_done -> closeAfterLinger());
+        } else {
+            readPipelined();
         }
-        context.writeAndFlush(message);
-        readPipelined();
     }
 
     void abort() {
