The orderly end of the process belongs to the relay

GracefulShutdown and SignalHandlers name nothing of the platform and move to relay; behaviour is unchanged.

--- a/platform/src/main/java/org/cowslippick/platform/GracefulShutdown.java
+++ b/relay/src/main/java/org/cowslippick/relay/process/GracefulShutdown.java
@@ -1,4 +1,4 @@
-package org.cowslippick.platform;
+package org.cowslippick.relay.process;
 
 import com.google.common.collect.Comparators;
 import java.time.Duration;
@@ -14,7 +14,7 @@
  * The steps between SIGTERM and the exit of the process. Requests are admitted for a while, as callers use cached
  * addresses; then what has been admitted gets the rest of the grace period.
  */
-final class GracefulShutdown {
+public final class GracefulShutdown {
 
     private static final Logger LOGGER = Logger.getLogger("cowslippick.daemon");
 
@@ -43,7 +43,7 @@
     private final RequestForwarder forwarder;
     private final CountDownLatch drained = new CountDownLatch(1);
 
-    GracefulShutdown(TimerService timer, CallerConnections callers, RequestForwarder forwarder) {
+    public GracefulShutdown(TimerService timer, CallerConnections callers, RequestForwarder forwarder) {
         this.timer = timer;
         this.callers = callers;
         this.forwarder = forwarder;
@@ -55,7 +55,7 @@
      * @param signalledAtNanos the start of the grace period
      * @param onAdmissionEnd stops accepting connections
      */
-    void start(long signalledAtNanos, Duration grace, Runnable onAdmissionEnd) {
+    public void start(long signalledAtNanos, Duration grace, Runnable onAdmissionEnd) {
         callers.drain();
         Duration admission = Comparators.min(LONGEST_ADMISSION, part(grace, ADMISSION_PER_GRACE));
         forwarder.admitUntil(signalledAtNanos + admission.toNanos());
@@ -83,7 +83,7 @@
     }
 
     /** Waits until all responses are written, or until the process has to exit; returns whether they are. */
-    boolean await(Duration grace) throws InterruptedException {
+    public boolean await(Duration grace) throws InterruptedException {
         return drained.await(grace.minus(EXIT_RESERVE).toMillis(), TimeUnit.MILLISECONDS);
     }
 
--- a/platform/src/main/java/org/cowslippick/platform/SignalHandlers.java
+++ b/relay/src/main/java/org/cowslippick/relay/process/SignalHandlers.java
@@ -1,4 +1,4 @@
-package org.cowslippick.platform;
+package org.cowslippick.relay.process;
 
 import java.lang.reflect.Proxy;
 
@@ -6,7 +6,7 @@
  * Handlers of signals that the JVM would otherwise take as requests to exit. The JDK offers them only in {@code
  * sun.misc}, which the compiler warns of in each use, so they are reached by reflection.
  */
-final class SignalHandlers {
+public final class SignalHandlers {
 
     private static final String SIGNAL_CLASS = "sun.misc.Signal";
     private static final String HANDLER_CLASS = "sun.misc.SignalHandler";
@@ -19,7 +19,7 @@
      * @throws IllegalStateException if this JVM cannot handle the signal
      */
     @SuppressWarnings("ProxyNonConstantType")
-    static void handle(String name, Runnable task) {
+    public static void handle(String name, Runnable task) {
         try {
             Class<?> signal = Class.forName(SIGNAL_CLASS);
             Class<?> handler = Class.forName(HANDLER_CLASS);
--- /dev/null
+++ b/relay/src/main/java/org/cowslippick/relay/process/package-info.java
@@ -0,0 +1,2 @@
+/** Signals of the process, and its orderly end. */
+package org.cowslippick.relay.process;
