An engine's error is not passed on as a refusal

Cause: completeBuffered passed on each status of an endpoint, also those that are a promise when the relay gives them (408, 429, 503). Evidence: RelayTest.errorOfAnEngineThatMayHaveRunTheRequestIsNoRefusal failed for all three statuses before the change and passes after it. Ruled out: a repetition by the relay; the engine got each attempt once. Change: the relay answers 502 without the seal once no retry is allowed.

--- a/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
@@ -66,6 +66,12 @@
     /** Parts of a stream after which an endpoint has survived the beginning of its answer. */
     private static final int ANSWERED_CHUNKS = 2;
 
+    /** Statuses that state that a request has not run, so that its caller may send it again. */
+    private static final ImmutableSet<HttpResponseStatus> NOT_RUN_STATUSES = ImmutableSet.of(
+            HttpResponseStatus.REQUEST_TIMEOUT,
+            HttpResponseStatus.TOO_MANY_REQUESTS,
+            HttpResponseStatus.SERVICE_UNAVAILABLE);
+
     private static final int MAXIMUM_BUFFERED_RESPONSE_BYTES = 1 << 20;
     private static final Duration RETRY_AFTER_REFUSAL = Duration.ofMillis(100);
 
@@ -552,6 +558,13 @@
                 requestSlot();
                 return;
             }
+            if (NOT_RUN_STATUSES.contains(received.status())) {
+                cause = "the endpoint responded with " + received.status().code()
+                        + ", though it may have run the request";
+                release(AnswerOutcome.ERROR_ANSWER);
+                fail(ErrorKind.ENDPOINT_REFUSED, RETRY_AFTER_REFUSAL);
+                return;
+            }
             times.partForwarded(now());
             context.slots().responseStarted(slot);
             release(isServerError ? AnswerOutcome.ERROR_ANSWER : AnswerOutcome.SOUND);
--- a/relay/src/test/java/org/cowslippick/relay/RelayTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayTest.java
@@ -207,6 +207,23 @@
         }
     }
 
+    /** A caller that reads an engine's error as a refusal would send a request again that has run. */
+    @ParameterizedTest
+    @ValueSource(strings = {"503 Service Unavailable", "429 Too Many Requests", "408 Request Timeout"})
+    void errorOfAnEngineThatMayHaveRunTheRequestIsNoRefusal(String status) throws Exception {
+        String failed = FAILED.replace("500 Internal Server Error", status);
+        for (String target : List.of("/book/1", "/look/1")) {
+            try (ScriptedEngine one = new ScriptedEngine(failed);
+                    ScriptedEngine other = new ScriptedEngine(failed);
+                    RelayHarness relay = new RelayHarness(one, other)) {
+                String response = relay.call("POST", target, "", "hello");
+                assertTrue(response.startsWith("HTTP/1.1 502"), response);
+                assertFalse(response.contains("X-Seal"), response);
+                assertFalse(response.contains("retry-after"), response);
+            }
+        }
+    }
+
     private static void awaitClosed(ScriptedEngine engine) throws InterruptedException {
         for (int attempt = 0; attempt < 200 && engine.closedByRelay() == 0; attempt++) {
             TimeUnit.MILLISECONDS.sleep(10);
