Bodies of requests are written in pieces, as endpoints read them

Cause: EndpointConnection wrote the whole body at once, which Netty copies into direct memory until the endpoint has read it; 16 bodies fill the 64 MB that the process has. A failed write was not looked at.

--- a/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
@@ -3,7 +3,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
@@ -44,7 +43,7 @@
     private Optional<ResponseListener> listener = Optional.empty();
     private Optional<String> attemptId = Optional.empty();
     private ChannelHandlerContext context;
-    private boolean requestFlushed;
+    private Optional<BodyWriter> bodyWriter = Optional.empty();
     private boolean skippingResponse;
     private int skippedResponses;
     private long skippedBytes;
@@ -90,14 +89,14 @@
         listener = Optional.of(responseListener);
         attemptId = Optional.of(dispatch.attemptId());
         sentAttemptIds.add(dispatch.attemptId());
-        requestFlushed = false;
         skippedResponses = 0;
         skippedBytes = 0;
         reusable = false;
         decoder.expectResponseTo(dispatch.head().method().equals(HttpMethod.HEAD));
+        BodyWriter writer = new BodyWriter(context.channel(), dispatch.body(), this::closeAfterFailedWrite);
+        bodyWriter = Optional.of(writer);
         context.write(dispatch.head());
-        context.writeAndFlush(new DefaultLastHttpContent(dispatch.body().retainedDuplicate()))
-                .addListener(_done -> requestFlushed = true);
+        writer.write();
         responseListener.requestSent();
     }
 
@@ -123,6 +122,13 @@
         }
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext _context) {
+        if (listener.isPresent()) {
+            bodyWriter.ifPresent(BodyWriter::write);
+        }
+    }
+
     @Override
     public void userEventTriggered(ChannelHandlerContext _context, Object event) {
         if (event instanceof ChannelInputShutdownEvent) {
@@ -144,6 +150,13 @@
         context.close();
     }
 
+    private void closeAfterFailedWrite(Throwable cause) {
+        if (isOpen()) {
+            closeCause = "the request could not be written: " + cause.getMessage();
+            context.close();
+        }
+    }
+
     private void read(HttpObject message) {
         if (message.decoderResult().isFailure()) {
             failAndClose("the endpoint sent an invalid HTTP response");
@@ -211,6 +224,8 @@
         }
         Optional<ResponseListener> current = listener;
         listener = Optional.empty();
+        boolean requestFlushed = bodyWriter.filter(BodyWriter::isFlushed).isPresent();
+        bodyWriter = Optional.empty();
         if (reusable && requestFlushed) {
             reused = true;
             onReusable.accept(this);
--- a/relay/src/test/java/org/cowslippick/relay/ScriptedEngine.java
+++ b/relay/src/test/java/org/cowslippick/relay/ScriptedEngine.java
@@ -52,6 +52,7 @@
     private volatile String crashText = "";
     private volatile boolean repeatsResponses;
     private volatile boolean respondsBeforeBody;
+    private volatile boolean readsNothing;
 
     ScriptedEngine(String... script) throws IOException {
         this.serverSocket = new ServerSocket();
@@ -87,6 +88,12 @@
         return this;
     }
 
+    /** Makes the engine accept connections, and hang. */
+    ScriptedEngine withoutReading() {
+        readsNothing = true;
+        return this;
+    }
+
     HostAndPort address() {
         return HostAndPort.fromParts("127.0.0.1", serverSocket.getLocalPort());
     }
@@ -115,6 +122,9 @@
             while (!serverSocket.isClosed()) {
                 Socket socket = serverSocket.accept();
                 sockets.add(socket);
+                if (readsNothing) {
+                    continue;
+                }
                 Thread thread = new Thread(() -> serve(socket), "engine-connection");
                 thread.setDaemon(true);
                 thread.start();
