The memory of a body is counted until its request is answered

Cause: the limit on the memory of bodies held only while they arrived; those of requests under way and declared lengths were bounded by the heap alone. Change: RequestBody and BodyMemory; large bodies leave a part to small ones.

--- /dev/null
+++ b/relay/src/main/java/org/cowslippick/relay/caller/BodyMemory.java
@@ -0,0 +1,31 @@
+package org.cowslippick.relay.caller;
+
+/** The heap memory of the request bodies of all connections. Large bodies leave a part of it to small ones. */
+final class BodyMemory {
+
+    /** Under half of the heap of the smallest deployment (180 MB). */
+    private static final long MAXIMUM_BYTES = 72L << 20;
+
+    private static final long MAXIMUM_BYTES_BESIDE_LARGE_BODIES = 64L << 20;
+    private static final int LARGE_BODY_BYTES = 64 << 10;
+
+    private long reservedBytes;
+
+    long reservedBytes() {
+        return reservedBytes;
+    }
+
+    /** Reserves more memory for a body that will have the given size; returns false if the limit would be exceeded. */
+    boolean tryReserve(int bytes, int bodyBytes) {
+        long limit = bodyBytes < LARGE_BODY_BYTES ? MAXIMUM_BYTES : MAXIMUM_BYTES_BESIDE_LARGE_BODIES;
+        if (reservedBytes + bytes > limit) {
+            return false;
+        }
+        reservedBytes += bytes;
+        return true;
+    }
+
+    void release(int bytes) {
+        reservedBytes -= bytes;
+    }
+}
--- a/relay/src/main/java/org/cowslippick/relay/caller/CallerConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/CallerConnection.java
@@ -1,7 +1,6 @@
 package org.cowslippick.relay.caller;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -19,7 +18,6 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayDeque;
@@ -47,11 +45,10 @@
 
     private final CallerConnections connections;
     private final ArrayDeque<HttpObject> pipelined = new ArrayDeque<>();
-    private ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private Optional<RequestBody> body = Optional.empty();
     private Optional<HttpRequest> head = Optional.empty();
     private Optional<CallerListener> listener = Optional.empty();
     private ChannelHandlerContext context;
-    private int reservedBytes;
     private boolean responding;
     private boolean closing;
     private int unflushedResponses;
@@ -180,6 +177,7 @@
         }
         listener = Optional.empty();
         responding = false;
+        releaseBody();
         timeoutStartNanos = connections.timer().nanoTime();
         unflushedResponses++;
         ChannelFuture written = context.writeAndFlush(message);
@@ -193,6 +191,7 @@
 
     void abort() {
         listener = Optional.empty();
+        releaseBody();
         closing = true;
         context.close();
     }
@@ -256,7 +255,8 @@
             context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
         head = Optional.of(request);
-        body = new ByteArrayOutputStream((int) HttpUtil.getContentLength(request, 0L));
+        body = Optional.of(new RequestBody(connections.bodyMemory(), (int)
+                HttpUtil.getContentLength(request, (long) connections.limits().maximumBodyBytes())));
     }
 
     /** Requests with two lengths allow request smuggling (RFC 9112, section 6.3). */
@@ -272,19 +272,12 @@
     }
 
     private void appendBody(ByteBuf bytes) {
-        int length = bytes.readableBytes();
-        if (body.size() + length > connections.limits().maximumBodyBytes()) {
+        RequestBody current = body.orElseThrow();
+        if (current.length() + bytes.readableBytes() > connections.limits().maximumBodyBytes()) {
             rejectTooLarge();
-            return;
-        }
-        if (!connections.tryReserve(length)) {
+        } else if (!current.tryAppend(bytes)) {
             reject(ErrorKind.SHED, "the memory for request bodies is exhausted");
-            return;
         }
-        reservedBytes += length;
-        byte[] copy = new byte[length];
-        bytes.readBytes(copy);
-        body.writeBytes(copy);
     }
 
     private void completeRequest() {
@@ -295,8 +288,7 @@
             closing = true;
         }
         CallerRequest callerRequest =
-                connections.reader().read(request, Unpooled.wrappedBuffer(body.toByteArray()), arrivedAtNanos);
-        releaseBody();
+                connections.reader().read(request, body.orElseThrow().content(), arrivedAtNanos);
         closing = closing || connections.isDraining();
         CallerListener requestListener = connections.handler().handle(callerRequest, new CallerExchange(this));
         if (responding) {
@@ -305,9 +297,8 @@
     }
 
     private void releaseBody() {
-        connections.release(reservedBytes);
-        reservedBytes = 0;
-        body = new ByteArrayOutputStream(0);
+        body.ifPresent(RequestBody::release);
+        body = Optional.empty();
     }
 
     private void rejectUndecodable(Throwable cause) {
@@ -327,7 +318,6 @@
     private void reject(ErrorKind kind, String detail) {
         head = Optional.empty();
         readingHead = false;
-        releaseBody();
         closing = true;
         new CallerExchange(this).fail(Failure.of(kind, detail));
     }
--- a/relay/src/main/java/org/cowslippick/relay/caller/CallerConnections.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/CallerConnections.java
@@ -16,17 +16,14 @@
 
     private static final Duration TIMEOUT_CHECK_PERIOD = Duration.ofMillis(250);
 
-    /** Limit on the memory of incomplete request bodies over all connections. */
-    private static final long MAXIMUM_BUFFERED_BYTES = 48L << 20;
-
     private final Set<CallerConnection> open = Collections.newSetFromMap(new IdentityHashMap<>());
     private final Supplier<CallerLimits> limits;
     private final TimerService timer;
     private final LoopMonitor monitor;
     private final RequestReader reader;
     private final RequestHandler handler;
+    private final BodyMemory bodyMemory = new BodyMemory();
     private boolean draining;
-    private long bufferedBytes;
 
     /** Starts the periodic timeout check. All methods must be called on the event loop of the timer. */
     public CallerConnections(
@@ -71,8 +68,9 @@
         return open.size();
     }
 
+    /** The memory of the bodies of all requests that have not been answered. */
     public long bufferedBytes() {
-        return bufferedBytes;
+        return bodyMemory.reservedBytes();
     }
 
     boolean isDraining() {
@@ -95,6 +93,10 @@
         return reader;
     }
 
+    BodyMemory bodyMemory() {
+        return bodyMemory;
+    }
+
     RequestHandler handler() {
         return handler;
     }
@@ -107,19 +109,6 @@
         open.remove(connection);
     }
 
-    /** Reserves buffer memory for bytes of a body; returns false if the limit would be exceeded. */
-    boolean tryReserve(int bytes) {
-        if (bufferedBytes + bytes > MAXIMUM_BUFFERED_BYTES) {
-            return false;
-        }
-        bufferedBytes += bytes;
-        return true;
-    }
-
-    void release(int bytes) {
-        bufferedBytes -= bytes;
-    }
-
     private void checkTimeouts() {
         long now = timer.nanoTime();
         ImmutableList.copyOf(open).forEach(connection -> connection.enforceTimeouts(now));
