The end of a request is reported to all owners that count its slot

Cause: a request that runs while the owner changes is adopted by the next one, and only the last one was told of its end. Ruled out: the owner that was silent; it had all slots free. Tried first: telling the old owner when the request moves.

--- a/relay/src/main/java/org/cowslippick/relay/peer/FleetSlotBroker.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/FleetSlotBroker.java
@@ -4,8 +4,10 @@
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.time.TimerService;
 import org.cowslippick.core.time.TimerService.Subscription;
@@ -201,14 +203,20 @@
     @Override
     public void release(SlotKey key, AnswerOutcome outcome) {
         Optional.ofNullable(localRequests.remove(key)).ifPresent(localRequest -> {
-            if (localRequest.owner.equals(self)) {
-                localQueues.release(localRequest.pool, key, outcome);
-            } else {
-                send(localRequest.owner, new SlotMessages.Released(localRequest.pool, key.number(), outcome));
-            }
+            releaseAt(localRequest.owner, localRequest, outcome);
+            localRequest.formerOwners.forEach(former -> releaseAt(former, localRequest, AnswerOutcome.SOUND));
         });
     }
 
+    private void releaseAt(InstanceName owner, LocalRequest localRequest, AnswerOutcome outcome) {
+        SlotKey key = localRequest.request.key();
+        if (owner.equals(self)) {
+            localQueues.release(localRequest.pool, key, outcome);
+        } else {
+            send(owner, new SlotMessages.Released(localRequest.pool, key.number(), outcome));
+        }
+    }
+
     private void requestSlot(LocalRequest localRequest) {
         localRequest.owner = owner(localRequest.pool);
         SlotKey key = localRequest.request.key();
@@ -278,8 +286,11 @@
         }
         if (localRequest.owner.equals(self)) {
             localQueues.release(localRequest.pool, localRequest.request.key(), AnswerOutcome.SOUND);
+        } else {
+            localRequest.formerOwners.add(localRequest.owner);
         }
         localRequest.owner = owner(localRequest.pool);
+        localRequest.formerOwners.remove(localRequest.owner);
         if (localRequest.owner.equals(self)) {
             localQueues.adopt(localRequest.pool, localRequest.request, localRequest.grantedEndpoint.get());
         } else {
@@ -401,6 +412,9 @@
         private final SlotRequest request;
         private final SlotListener listener;
         private InstanceName owner;
+        /** Those that may still count the slot. They are told of its end, as one that was only slow goes on granting. */
+        private final Set<InstanceName> formerOwners = new HashSet<>();
+
         private Optional<Subscription> timeout = Optional.empty();
         private Optional<String> grantedEndpoint = Optional.empty();
         private boolean responseStarted;
--- a/relay/src/test/java/org/cowslippick/relay/peer/SlotFleet.java
+++ b/relay/src/test/java/org/cowslippick/relay/peer/SlotFleet.java
@@ -43,6 +43,7 @@
     private final Duration callerPeriod;
     private final BiConsumer<Node, SlotDecision.Granted> onGrant;
     private int refusals;
+    private boolean isWithoutCallers;
 
     /** Starts the instances; {@code onGrant} must end each grant by {@link Node#answered}. */
     SlotFleet(
@@ -66,6 +67,16 @@
         return network;
     }
 
+    /** Ends the requests of all callers. */
+    void stopCallers() {
+        isWithoutCallers = true;
+    }
+
+    /** The free slots of the pool, as an instance would grant them if it owned the pool. */
+    int freeSlots(int number) {
+        return nodes.get(number).localQueues.load(POOL).freeSlots();
+    }
+
     int refusals() {
         return refusals;
     }
@@ -109,6 +120,7 @@
     final class Node implements SlotListener {
         private final int number;
         private final FleetSlotBroker broker;
+        private final LocalSlotQueues localQueues;
         private final EndpointDirectory directory;
         private final PoolOwners owners;
         private boolean isStopped;
@@ -123,7 +135,7 @@
                             .mapToObj(SlotFleet::instance)
                             .collect(ImmutableList.toImmutableList()),
                     1);
-            LocalSlotQueues localQueues = new LocalSlotQueues(timer);
+            localQueues = new LocalSlotQueues(timer);
             directory = new EndpointDirectory(timer, localQueues::replaceEndpoints);
             FleetMembership membership = new FleetMembership(
                     known,
@@ -170,7 +182,7 @@
         }
 
         private void request() {
-            if (isStopped) {
+            if (isStopped || isWithoutCallers) {
                 return;
             }
             long now = timer.nanoTime();
