A slot whose end was never reported is freed after the request's time

Cause: slots of the pool counted as taken by requests that had ended. Ruled out: instances that are behind (no such line in the log; refusals came after 0 to 74 ms); the configuration (the routes were matched). Change: SlotQueue forgets a request one second after its time.

--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointLoad.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointLoad.java
@@ -189,6 +189,14 @@
         inFlight.put(request.key(), new Dispatch(work(request), work(request), nowNanos).withAnswerStart(nowNanos));
     }
 
+    /** Removes a request of which nothing more is known; it tells nothing about the endpoint. */
+    void forget(SlotRequest request) {
+        Dispatch dispatch = inFlight.remove(request.key());
+        if (dispatch != null && !dispatch.answerStarted()) {
+            pendingPromptTokens = Math.max(0, pendingPromptTokens - dispatch.work());
+        }
+    }
+
     /** Records the first token of a request, which implies that its prompt has been processed. */
     void recordAnswerStart(SlotRequest request, long nowNanos) {
         Dispatch dispatch = inFlight.get(request.key());
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -34,6 +34,12 @@
     private static final Duration NO_ENDPOINT_RETRY_AFTER = Duration.ofMillis(500);
     private static final int MAXIMUM_WAITING = 2_000;
 
+    /** Later than this after the time of a request, the report of its end has been lost. */
+    static final Duration END_REPORT_ALLOWANCE = Duration.ofSeconds(1);
+
+    /** Bounds the work on requests whose time has passed, which is not urgent. */
+    private static final long EXPIRY_PERIOD_NANOS = Duration.ofMillis(100).toNanos();
+
     private final Map<String, EndpointLoad> endpoints = new HashMap<>();
     private final WaitingRequests waiting = new WaitingRequests();
     private final Map<SlotKey, Running> running = new HashMap<>();
@@ -41,6 +47,7 @@
     private final EndpointNotices notices = new EndpointNotices();
     private final DispatchRate dispatchRate = new DispatchRate();
     private boolean isOwner = true;
+    private Optional<Long> expiryCheckedAtNanos = Optional.empty();
 
     /**
      * Sets whether this instance is the designated owner of the pool. Any other does not use endpoints with a rate limit, as
@@ -85,6 +92,7 @@
 
     /** Offers a request, which is granted a slot, queued or refused. */
     public ImmutableList<SlotDecision> offer(SlotRequest offered, long nowNanos) {
+        forgetExpired(nowNanos);
         SlotRequest request = refused.matchRetry(offered, nowNanos);
         if (endpoints.values().stream().allMatch(EndpointLoad::isLeaving)) {
             return refusal(request, SlotDecision.Reason.NO_ENDPOINT, NO_ENDPOINT_RETRY_AFTER.toNanos());
@@ -171,6 +179,7 @@
         if (waiting.isEmpty()) {
             return ImmutableList.of();
         }
+        forgetExpired(nowNanos);
         ImmutableList<SlotDecision> expired = waiting.all()
                 .filter(request -> nowNanos - request.queueDeadlineNanos() >= 0)
                 .map(request ->
@@ -184,6 +193,7 @@
     }
 
     public PoolLoad load(long nowNanos) {
+        forgetExpired(nowNanos);
         int free = endpoints.values().stream()
                 .filter(load -> isOpen(load, nowNanos))
                 .mapToInt(load -> load.isRateLimited() ? 1 : load.freeSlots())
@@ -195,6 +205,23 @@
         return waiting.size();
     }
 
+    /** Frees the slots of requests that must have ended, though nobody has reported it. */
+    private void forgetExpired(long nowNanos) {
+        if (expiryCheckedAtNanos
+                .filter(checked -> nowNanos - checked < EXPIRY_PERIOD_NANOS)
+                .isPresent()) {
+            return;
+        }
+        expiryCheckedAtNanos = Optional.of(nowNanos);
+        ImmutableList<Running> expired = running.values().stream()
+                .filter(entry -> nowNanos - entry.request().expiresAtNanos() >= END_REPORT_ALLOWANCE.toNanos())
+                .collect(ImmutableList.toImmutableList());
+        expired.forEach(entry -> {
+            running.remove(entry.request().key());
+            entry.load().forget(entry.request());
+        });
+    }
+
     private ImmutableList<SlotDecision> step(long nowNanos) {
         ImmutableList.Builder<SlotDecision> decisions = ImmutableList.builder();
         Optional<SlotRequest> next = next(nowNanos);
--- a/scheduler/src/test/java/org/cowslippick/scheduler/slot/SlotQueueTest.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/slot/SlotQueueTest.java
@@ -46,6 +46,21 @@
         assertEquals(urgent, decisions.get(0).request());
     }
 
+    /** Reports of ends are lost with connections between instances; a pool whose slots all leaked served nothing. */
+    @Test
+    void slotOfARequestWhoseEndWasNeverReportedIsFreedAfterItsTime() {
+        endpoints(1, 1);
+        SlotRequest lost = request(0);
+        queue.offer(lost, 0);
+        SlotRequest adopted = request(0);
+        queue.adopt(adopted, "engine-0", 0);
+        long expired = lost.expiresAtNanos() + SlotQueue.END_REPORT_ALLOWANCE.toNanos();
+        assertEquals(0, queue.load(expired - Duration.ofSeconds(1).toNanos()).freeSlots());
+        assertEquals("engine-0", granted(queue.offer(request(0), expired)));
+        assertTrue(queue.recordEnd(lost.key(), AnswerOutcome.SOUND, expired).isEmpty());
+        assertEquals(0, queue.load(expired).freeSlots());
+    }
+
     @Test
     void ordersByRouteRankWithinARank() {
         endpoints(1, 1);
