--- a/relay/src/main/java/org/cowslippick/relay/caller/RequestBody.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/RequestBody.java
@@ -12,25 +12,25 @@
     private static final int FIRST_CAPACITY_BYTES = 1 << 10;
 
     private final BodyMemory memory;
-    private final int maximumBytes;
+    private final int expectedBytes;
     private ByteBuf bytes = Unpooled.EMPTY_BUFFER;
     private int reservedBytes;
 
     /**
      * Creates an empty body.
      *
-     * @param maximumBytes the expected maximum length, beyond which memory is reserved only as bytes arrive
+     * @param expectedBytes the declared length, or the longest allowed; reserved memory is doubled up to this
      */
-    RequestBody(BodyMemory memory, int maximumBytes) {
+    RequestBody(BodyMemory memory, int expectedBytes) {
         this.memory = memory;
-        this.maximumBytes = maximumBytes;
+        this.expectedBytes = expectedBytes;
     }
 
     int length() {
         return bytes.readableBytes();
     }
 
-    /** Appends bytes within the maximum; returns false if there is no memory left for them. */
+    /** Appends bytes; returns false if there is no memory left for them. */
     boolean tryAppend(ByteBuf added) {
         int needed = length() + added.readableBytes();
         if (needed > bytes.capacity() && !tryGrow(needed)) {
@@ -53,7 +53,7 @@
     }
 
     private boolean tryGrow(int needed) {
-        int capacity = Math.max(needed, Math.min(maximumBytes, Math.max(FIRST_CAPACITY_BYTES, 2 * reservedBytes)));
+        int capacity = Math.max(needed, Math.min(expectedBytes, Math.max(FIRST_CAPACITY_BYTES, 2 * reservedBytes)));
         if (!memory.tryReserve(capacity - reservedBytes, capacity)) {
             return false;
         }
