Tests: an engine that stops in the head of its response is no success

Report of another operator: a 200 with an empty or short body, framed as whole, after an engine stopped in its head. Tried here and not shown: heads that stop after 0 bytes, in the status line, between and within header lines and before the last line end, closed and reset, on a plain route and a streaming one (32 cases of TruncatedResponseTest), and at the engine that resumes a stream (2 cases of ResumedStreamTest). All gave 502, or a stream without its end, before any change: the HTTP decoder marks such a head as invalid, and EndpointConnection checks the mark.

--- a/relay/src/test/java/org/cowslippick/relay/ResumedStreamTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/ResumedStreamTest.java
@@ -40,6 +40,8 @@
                         "HTTP/1.1 200 OK\r\nX-Attempt: {id}\r\nContent-Type: text/event-stream\r\n" + ERROR_BODY),
                 Arguments.of("no content", "HTTP/1.1 204 No Content\r\n" + SEALED + "\r\n"),
                 Arguments.of("a stream without an event", STREAM + "\r\n" + ScriptedEngine.CLOSE),
+                Arguments.of("a head that stops", STREAM + ScriptedEngine.CLOSE),
+                Arguments.of("a head that is reset", STREAM + "Content-Le" + ScriptedEngine.RESET),
                 Arguments.of("no response", ScriptedEngine.CLOSE));
     }
 
--- a/relay/src/test/java/org/cowslippick/relay/TruncatedResponseTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/TruncatedResponseTest.java
@@ -4,9 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** An engine's response ends before all of it was sent: it never reaches the caller as a complete one. */
@@ -61,6 +65,34 @@
         }
     }
 
+    /** A head that stops anywhere is no response, though its status line says 200 (MIXED, ORDER). */
+    @ParameterizedTest
+    @MethodSource("truncatedHeads")
+    void closeOrResetWithinTheHeadIsNoResponse(String path, String truncated) throws Exception {
+        try (ScriptedEngine engine = new ScriptedEngine(truncated);
+                RelayHarness relay = new RelayHarness(engine)) {
+            String response = relay.call("POST", path, "", "hello");
+            assertTrue(response.startsWith("HTTP/1.1 502"), response);
+            assertEquals(1, engine.requests().size());
+        }
+    }
+
+    private static Stream<Arguments> truncatedHeads() {
+        String head = WITHOUT_LENGTH.replace("Connection: close\r\n", "Content-Length: 25\r\n");
+        IntStream lengths = IntStream.of(
+                0,
+                "HTTP/1.1 200".length(),
+                "HTTP/1.1 200 OK\r\n".length(),
+                HEAD.length() - 1,
+                HEAD.length(),
+                HEAD.length() + "Content-Length: 2".length(),
+                head.length() - "\r\n".length(),
+                head.length() - 1);
+        return lengths.mapToObj(length -> head.substring(0, length))
+                .flatMap(start -> Stream.of(start + ScriptedEngine.CLOSE, start + ScriptedEngine.RESET))
+                .flatMap(script -> Stream.of(Arguments.of("/book/1", script), Arguments.of("/report/1", script)));
+    }
+
     @Test
     void closeCompletesAResponseWithoutALength() throws Exception {
         try (ScriptedEngine engine = new ScriptedEngine(WITHOUT_LENGTH + "whole" + ScriptedEngine.CLOSE);
