A call of an application engine whose response stops is not completed

What callers saw (report of another operator, shown here in the product's own interface): an engine stops in the head of its response and closes, and the caller gets 200 with an empty body, framed as whole; likewise with half of a body without a length. Cause: the HTTP client of entry passes on the decoder's invalid message as a response, with the headers read so far and a length of 0. Ruled out: comparing the stated length, which is not among the headers when the head stops behind its line. Change: a call is completed only with a whole JSON document, as docs/INTERFACES.md has it; anything else is a failure of the endpoint with unknown outcome.

--- a/entry/src/main/java/org/cowslippick/entry/endpoint/ApplicationEngineClient.java
+++ b/entry/src/main/java/org/cowslippick/entry/endpoint/ApplicationEngineClient.java
@@ -60,7 +60,21 @@
                             "endpoint " + endpoint.name() + " responded to request " + request
                                     + " with the answer to another request"));
         } else {
-            oneShot.completed(response.getBody().getText());
+            complete(endpoint, oneShot, response.getBody().getText());
+        }
+    }
+
+    /** The HTTP client passes on a response that stopped in its head, or had no length, as if it were whole. */
+    private static void complete(Endpoint endpoint, OneShotDispatchListener oneShot, String body) {
+        if (Json.read(body).isPresent()) {
+            oneShot.completed(body);
+        } else {
+            oneShot.failed(
+                    DispatchFault.FAILED,
+                    Failure.of(
+                            ErrorKind.ENDPOINT_FAILED,
+                            "endpoint " + endpoint.name()
+                                    + " responded with a body that is not a whole JSON document"));
         }
     }
 
