--- a/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
@@ -1,5 +1,6 @@
 package org.cowslippick.relay.endpoint;
 
+import com.google.common.net.HostAndPort;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
@@ -17,6 +18,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.cowslippick.relay.log.LogLine;
+import org.cowslippick.relay.message.ResponseHeadValidator;
 import org.jboss.logging.Logger;
 
 /**
@@ -37,7 +39,9 @@
 
     private static final long MAXIMUM_SKIPPED_BYTES = 1 << 20;
 
+    private final HostAndPort address;
     private final String attemptIdHeader;
+    private final ResponseHeadValidator headValidator;
     private final ResponseDecoder decoder;
     private final Consumer<EndpointConnection> onReusable;
     private Optional<ResponseListener> listener = Optional.empty();
@@ -54,8 +58,15 @@
     private String closeCause = "connection closed";
     private long idleSinceNanos;
 
-    EndpointConnection(String attemptIdHeader, ResponseDecoder decoder, Consumer<EndpointConnection> onReusable) {
+    EndpointConnection(
+            HostAndPort address,
+            String attemptIdHeader,
+            ResponseHeadValidator headValidator,
+            ResponseDecoder decoder,
+            Consumer<EndpointConnection> onReusable) {
+        this.address = address;
         this.attemptIdHeader = attemptIdHeader;
+        this.headValidator = headValidator;
         this.decoder = decoder;
         this.onReusable = onReusable;
     }
@@ -105,6 +116,15 @@
         context.close();
     }
 
+    boolean isResponsePending() {
+        return listener.isPresent();
+    }
+
+    /** Handles bytes that arrived while no response was pending. */
+    void unexpectedBytesArrived(int count) {
+        logUnexpectedBytes(count);
+    }
+
     void setReading(boolean enabled) {
         context.channel().config().setAutoRead(enabled);
     }
@@ -167,6 +187,7 @@
             return;
         }
         if (message instanceof HttpResponse head) {
+            headValidator.findDefect(head).ifPresent(defect -> logDefect(head, defect));
             readHead(head);
         }
         if (skippingResponse) {
@@ -205,6 +226,7 @@
         skippingResponse = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
                 || (echoed != null && !attemptId.get().equals(echoed));
         if (skippingResponse) {
+            logSkipped(head, echoed);
             return;
         }
         endsWithConnection = decoder.endsWithConnection(head);
@@ -226,6 +248,9 @@
         listener = Optional.empty();
         boolean requestFlushed = bodyWriter.filter(BodyWriter::isFlushed).isPresent();
         bodyWriter = Optional.empty();
+        if (decoder.hasUndecodedBytes()) {
+            logUnexpectedBytes(decoder.undecodedBytes());
+        }
         if (reusable && requestFlushed) {
             reused = true;
             onReusable.accept(this);
@@ -235,6 +260,33 @@
         current.ifPresent(ResponseListener::completed);
     }
 
+    private void logUnexpectedBytes(int count) {
+        LOGGER.info(line("unexpected-bytes").with("bytes", count));
+    }
+
+    private void logSkipped(HttpResponse head, String echoed) {
+        if (head.status().codeClass() != HttpStatusClass.INFORMATIONAL) {
+            LOGGER.info(line("response-skipped")
+                    .with("received", echoed)
+                    .with("status", head.status().code()));
+        }
+    }
+
+    private void logDefect(HttpResponse head, String defect) {
+        LOGGER.warn(line("response-head-defect")
+                .with("status", head.status().code())
+                .with("cause", defect));
+    }
+
+    /** Begins a line with the connection's endpoint and last request, and how many it has carried. */
+    private LogLine line(String event) {
+        return LogLine.of(event)
+                .with("endpoint", address.toString())
+                .with("id", attemptId.orElse(""))
+                .with("pending", isResponsePending())
+                .with("requests", sentAttemptIds.size());
+    }
+
     private void failAndClose(String cause) {
         endRequest(present -> present.failed(cause));
         context.close();
--- a/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnections.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnections.java
@@ -21,6 +21,8 @@
 import java.util.function.Supplier;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.time.TimerService;
+import org.cowslippick.relay.message.HeaderNames;
+import org.cowslippick.relay.message.ResponseHeadValidator;
 import org.cowslippick.relay.message.SocketOptions;
 import org.cowslippick.relay.time.LoopMonitor;
 
@@ -44,14 +46,16 @@
     private final TimerService timer;
     private final LoopMonitor monitor;
     private final String attemptIdHeader;
+    private final ResponseHeadValidator headValidator;
     private final Map<HostAndPort, Deque<EndpointConnection>> idle = new HashMap<>();
 
     /** Creates an empty pool. All methods must be called on the only event loop of the group. */
-    public EndpointConnections(EventLoopGroup loops, TimerService timer, LoopMonitor monitor, String attemptIdHeader) {
+    public EndpointConnections(EventLoopGroup loops, TimerService timer, LoopMonitor monitor, HeaderNames names) {
         this.loops = loops;
         this.timer = timer;
         this.monitor = monitor;
-        this.attemptIdHeader = attemptIdHeader;
+        this.attemptIdHeader = names.attemptId();
+        this.headValidator = new ResponseHeadValidator(names.singleResponseHeaders());
         timer.scheduleWithFixedDelay(EVICTION_PERIOD, this::evictExpired);
     }
 
@@ -123,13 +127,14 @@
     private void open(
             HostAndPort address, Supplier<Optional<Dispatch>> dispatch, ResponseListener listener, Handle handle) {
         ResponseDecoder decoder = new ResponseDecoder();
-        EndpointConnection connection =
-                new EndpointConnection(attemptIdHeader, decoder, finished -> release(address, finished));
+        EndpointConnection connection = new EndpointConnection(
+                address, attemptIdHeader, headValidator, decoder, finished -> release(address, finished));
         ChannelFuture connecting = bootstrap(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         SocketOptions.apply(channel);
                         channel.pipeline()
+                                .addLast(new UnexpectedBytesHandler(connection))
                                 .addLast(decoder)
                                 .addLast(new HttpRequestEncoder())
                                 .addLast(connection);
--- a/relay/src/main/java/org/cowslippick/relay/endpoint/ResponseDecoder.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/ResponseDecoder.java
@@ -34,6 +34,15 @@
         return inputEnded;
     }
 
+    /** Bytes that have arrived and belong to no decoded message. */
+    int undecodedBytes() {
+        return actualReadableBytes();
+    }
+
+    boolean hasUndecodedBytes() {
+        return undecodedBytes() > 0;
+    }
+
     /** Whether only the end of the connection shows where the body ends (RFC 9112, section 6.3). */
     boolean endsWithConnection(HttpResponse head) {
         return !isContentAlwaysEmpty(head)
