--- a/relay/src/test/java/org/cowslippick/relay/ScriptedEngine.java
+++ b/relay/src/test/java/org/cowslippick/relay/ScriptedEngine.java
@@ -27,6 +27,11 @@
     /** Separates a response from bytes that follow it repeatedly until the relay closes the connection. */
     static final String ENDLESS = "<endless>";
 
+    /** Separates a response from bytes that are written some time after it. */
+    static final String LATER = "<later>";
+
+    private static final long LATER_DELAY_MILLISECONDS = 50;
+
     /** Gives the relay time to read the response, as a reset discards unread bytes. */
     private static final long RESET_DELAY_MILLISECONDS = 50;
 
@@ -48,6 +53,7 @@
     private final List<Socket> sockets = new CopyOnWriteArrayList<>();
     private final AtomicInteger closedByRelay = new AtomicInteger();
     private final AtomicInteger endlessBytes = new AtomicInteger();
+    private final AtomicInteger lateWrites = new AtomicInteger();
 
     private volatile String crashText = "";
     private volatile boolean repeatsResponses;
@@ -108,6 +114,15 @@
         return endlessBytes.get();
     }
 
+    /** How often bytes after {@link #LATER} have been written. */
+    int lateWrites() {
+        return lateWrites.get();
+    }
+
+    int connections() {
+        return sockets.size();
+    }
+
     int closedByRelay() {
         return closedByRelay.get();
     }
@@ -167,8 +182,7 @@
         boolean closes = script.endsWith(CLOSE);
         boolean resets = script.endsWith(RESET);
         String text = script.replace(CLOSE, "").replace(RESET, "").replace("{id}", header(head, "X-Attempt"));
-        socket.getOutputStream().write((earlier + text).getBytes(StandardCharsets.ISO_8859_1));
-        socket.getOutputStream().flush();
+        write(socket, earlier + text);
         if (repeatsResponses) {
             earlier.append(text);
         }
@@ -179,6 +193,18 @@
         return !closes && !resets;
     }
 
+    private void write(Socket socket, String text) throws IOException {
+        int separator = text.indexOf(LATER);
+        String first = separator < 0 ? text : text.substring(0, separator);
+        socket.getOutputStream().write(first.getBytes(StandardCharsets.ISO_8859_1));
+        if (separator >= 0) {
+            delay(LATER_DELAY_MILLISECONDS);
+            String late = text.substring(separator + LATER.length());
+            socket.getOutputStream().write(late.getBytes(StandardCharsets.ISO_8859_1));
+            lateWrites.incrementAndGet();
+        }
+    }
+
     private void crash() throws IOException {
         delay(CRASH_DELAY_MILLISECONDS);
         serverSocket.close();
