A response is not continued by the next one on its connection

Cause: the decoder keeps the beginning of a head until the head is whole. An engine that begins a second response and stops within its head, before the awaited response or late on an idle connection, has that head continued by the next response: "HTTP/1.1 200 OK" and "HTTP/1.1 500 Internal Server Error" make a status line with the code 200, and the id, the seal and the body that follow are the awaited ones. An idle connection was closed by a message, not by bytes; a head was taken with any reason, any value and with repeated fields. In the same way the beginning of a refusal made a request that had run "not run", which allows the relay and the caller to send it again.

Class of fault: state of a parser that outlives the message it belongs to, and a head accepted for what it contains.

Change: bytes that arrive while no response is pending close the connection before they are decoded; bytes behind a response keep it from being used again; a head with a second status line in its reason or in a value, or with two of a header on which the relay decides, fails the request like an invalid response. Every other place where the first head can stop is refused by the decoder.

In the earlier form of the tests each failed request waited for another endpoint; they use a route with one endpoint now, which fails the same cases.

Growth: one pattern on the reason and the values of each response, no state.

--- a/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
@@ -22,9 +22,10 @@
 import org.jboss.logging.Logger;
 
 /**
- * A connection to an endpoint, without pipelining. Bytes that arrive while no response is pending close the connection;
- * a response that carries the attempt id of another request is skipped. A response without an attempt id is accepted
- * only for the first request, as it may be a late second response to an earlier one.
+ * A connection to an endpoint, without pipelining. Bytes that arrive while no response is pending close the connection,
+ * also before they make a whole message; a head that joins two responses fails the request. A response that carries the
+ * attempt id of another request is skipped. A response without an attempt id is accepted only for the first request, as it
+ * may be a late second response to an earlier one.
  */
 @SuppressWarnings("FutureReturnValueIgnored")
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
@@ -123,6 +124,7 @@
     /** Handles bytes that arrived while no response was pending. */
     void unexpectedBytesArrived(int count) {
         logUnexpectedBytes(count);
+        context.close();
     }
 
     void setReading(boolean enabled) {
@@ -187,7 +189,12 @@
             return;
         }
         if (message instanceof HttpResponse head) {
-            headValidator.findDefect(head).ifPresent(defect -> logDefect(head, defect));
+            Optional<String> defect = headValidator.findDefect(head);
+            if (defect.isPresent()) {
+                logDefect(head, defect.get());
+                failAndClose("the endpoint sent a head of two responses: " + defect.get());
+                return;
+            }
             readHead(head);
         }
         if (skippingResponse) {
@@ -248,10 +255,11 @@
         listener = Optional.empty();
         boolean requestFlushed = bodyWriter.filter(BodyWriter::isFlushed).isPresent();
         bodyWriter = Optional.empty();
-        if (decoder.hasUndecodedBytes()) {
-            logUnexpectedBytes(decoder.undecodedBytes());
+        int bytesBehind = decoder.undecodedBytes();
+        if (bytesBehind > 0) {
+            logUnexpectedBytes(bytesBehind);
         }
-        if (reusable && requestFlushed) {
+        if (reusable && requestFlushed && bytesBehind == 0) {
             reused = true;
             onReusable.accept(this);
         } else {
--- a/relay/src/main/java/org/cowslippick/relay/endpoint/ResponseDecoder.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/ResponseDecoder.java
@@ -39,10 +39,6 @@
         return actualReadableBytes();
     }
 
-    boolean hasUndecodedBytes() {
-        return undecodedBytes() > 0;
-    }
-
     /** Whether only the end of the connection shows where the body ends (RFC 9112, section 6.3). */
     boolean endsWithConnection(HttpResponse head) {
         return !isContentAlwaysEmpty(head)
--- a/relay/src/main/java/org/cowslippick/relay/endpoint/UnexpectedBytesHandler.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/UnexpectedBytesHandler.java
@@ -5,7 +5,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 
 /**
- * Reports bytes that arrive while no response is pending. The decoder reports nothing before a head is complete, so that
+ * Ends a connection on which bytes arrive while no response is pending. The decoder reports nothing before a head is complete, so that
  * the beginning of a late response would otherwise stay unnoticed until the next response continues it.
  */
 final class UnexpectedBytesHandler extends ChannelInboundHandlerAdapter {
@@ -20,6 +20,8 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (!connection.isResponsePending() && message instanceof ByteBuf bytes && bytes.isReadable()) {
             connection.unexpectedBytesArrived(bytes.readableBytes());
+            bytes.release();
+            return;
         }
         context.fireChannelRead(message);
     }
--- a/relay/src/test/java/org/cowslippick/relay/JoinedResponsesTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/JoinedResponsesTest.java
@@ -34,7 +34,7 @@
     void failureBehindTheBeginningOfAnotherResponseIsNoSuccess(String beginning) throws Exception {
         try (ScriptedEngine engine = new ScriptedEngine(beginning + FAILED);
                 RelayHarness relay = new RelayHarness(engine)) {
-            assertNoSuccess(relay.call("GET", "/look/1", "", ""));
+            assertNoSuccess(relay.call("GET", "/read/1", "", ""));
         }
     }
 
@@ -52,8 +52,8 @@
     void failureBehindTheBeginningOfAnotherResponseOnAKeptConnectionIsNoSuccess(String beginning) throws Exception {
         try (ScriptedEngine engine = new ScriptedEngine(OK, beginning + FAILED);
                 RelayHarness relay = new RelayHarness(engine)) {
-            assertTrue(relay.call("GET", "/look/1", "", "").endsWith("body"));
-            assertNoSuccess(relay.call("GET", "/look/2", "X-Attempt: a2\r\n", ""));
+            assertTrue(relay.call("GET", "/read/1", "", "").endsWith("body"));
+            assertNoSuccess(relay.call("GET", "/read/2", "X-Attempt: a2\r\n", ""));
             assertEquals(2, engine.requests().size());
         }
     }
@@ -63,9 +63,9 @@
     void beginningOfALateResponseIsNotContinuedByTheNextFailure(String beginning) throws Exception {
         try (ScriptedEngine engine = new ScriptedEngine(OK + ScriptedEngine.LATER + beginning, FAILED);
                 RelayHarness relay = new RelayHarness(engine)) {
-            assertTrue(relay.call("GET", "/look/1", "", "").endsWith("body"));
+            assertTrue(relay.call("GET", "/read/1", "", "").endsWith("body"));
             await(() -> engine.lateWrites() == 1);
-            assertNoSuccess(relay.call("GET", "/look/2", "X-Attempt: a2\r\n", ""));
+            assertNoSuccess(relay.call("GET", "/read/2", "X-Attempt: a2\r\n", ""));
             assertEquals(2, engine.requests().size());
         }
     }
@@ -89,10 +89,10 @@
         for (String behind : new String[] {"H", ScriptedEngine.LATER + "H"}) {
             try (ScriptedEngine engine = new ScriptedEngine(OK + behind, OK);
                     RelayHarness relay = new RelayHarness(engine)) {
-                assertTrue(relay.call("GET", "/look/1", "", "").endsWith("body"));
+                assertTrue(relay.call("GET", "/read/1", "", "").endsWith("body"));
                 await(() -> behind.equals("H") || engine.lateWrites() == 1);
                 relay.awaitCaughtUp();
-                assertTrue(relay.call("GET", "/look/2", "X-Attempt: a2\r\n", "").endsWith("body"));
+                assertTrue(relay.call("GET", "/read/2", "X-Attempt: a2\r\n", "").endsWith("body"));
                 assertEquals(2, engine.connections());
             }
         }
@@ -102,8 +102,8 @@
     void soundResponsesKeepTheirConnection() throws Exception {
         try (ScriptedEngine engine = new ScriptedEngine(OK, OK);
                 RelayHarness relay = new RelayHarness(engine)) {
-            assertTrue(relay.call("GET", "/look/1", "", "").endsWith("body"));
-            assertTrue(relay.call("GET", "/look/2", "X-Attempt: a2\r\n", "").endsWith("body"));
+            assertTrue(relay.call("GET", "/read/1", "", "").endsWith("body"));
+            assertTrue(relay.call("GET", "/read/2", "X-Attempt: a2\r\n", "").endsWith("body"));
             assertEquals(1, engine.connections());
         }
     }
--- a/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
@@ -235,6 +235,7 @@
                 ImmutableList.of(
                         route("book", RouteKind.AT_MOST_ONCE, 2, false),
                         route("look", RouteKind.IDEMPOTENT, 2, false),
+                        route("read", RouteKind.IDEMPOTENT, 1, false),
                         route("chat", RouteKind.EVENT_STREAM, 2, true),
                         route("report", RouteKind.EVENT_STREAM, 1, false)),
                 ImmutableList.of(),
