The retry of a request that found no endpoint keeps its place

Callers could see: a request refused with no-endpoint lost the memory of its refusal, or got none, so that its retry counted as a new request and was refused once more when endpoints were back. Evidence: recognisesACallerRetryThatFoundNoEndpoint failed before. Change: such a refusal is remembered like any other.

--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -95,6 +95,7 @@
         forgetExpired(nowNanos);
         SlotRequest request = refused.matchRetry(offered, nowNanos);
         if (endpoints.values().stream().allMatch(EndpointLoad::isLeaving)) {
+            refused.add(request, nowNanos);
             return refusal(request, SlotDecision.Reason.NO_ENDPOINT, NO_ENDPOINT_RETRY_AFTER.toNanos());
         }
         long wait = expectedWaitNanos(request, nowNanos);
--- a/scheduler/src/test/java/org/cowslippick/scheduler/slot/SlotQueueTest.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/slot/SlotQueueTest.java
@@ -239,6 +239,21 @@
         assertEquals(SlotDecision.Reason.NO_ENDPOINT, ((SlotDecision.Refused) decision).reason());
     }
 
+    /** Once there were endpoints again, it was taken for a new request and refused once more. */
+    @Test
+    void recognisesACallerRetryThatFoundNoEndpoint() {
+        SlotRequest refused = request(0);
+        queue.offer(refused, 0);
+        queue.offer(withFingerprint(refused.fingerprint(), MILLISECOND), MILLISECOND);
+        endpoints(1, 1);
+        long later = Duration.ofSeconds(2).toNanos();
+        queue.offer(request(0, 0, false, 3_000), later);
+        queue.offer(request(0, 0, false, 3_000), later);
+        assertTrue(queue.offer(withFingerprint(-1, later), later).get(0) instanceof SlotDecision.Refused);
+        assertTrue(queue.offer(withFingerprint(refused.fingerprint(), later), later)
+                .isEmpty());
+    }
+
     @Test
     void avoidsAnUnreachableEndpoint() {
         endpoints(2, 4);
