A collector is overdue by the report period of its fleet

Evidence: CollectorSelectorTest.collectorThatReportsInTimeStaysSelected failed before at 512 and 2,000 others.

--- a/relay/src/main/java/org/cowslippick/relay/peer/CollectorSelector.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/CollectorSelector.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Supplier;
 import org.cowslippick.core.world.Instance;
 import org.cowslippick.core.world.InstanceName;
 import org.cowslippick.core.world.Region;
@@ -26,12 +27,10 @@
      */
     private static final int STORE_OUTAGE_THRESHOLD = 4;
 
-    /** Covers several report periods of a collector. */
-    private static final Duration REPORT_TIMEOUT = Duration.ofMillis(1200);
-
     private static final Duration EXCLUSION_PERIOD = Duration.ofSeconds(3);
 
     private final InstanceName self;
+    private final Supplier<Duration> reportTimeout;
     private final Map<InstanceName, Long> lastReportNanos = new HashMap<>();
     private final Map<InstanceName, Long> expectedSinceNanos = new HashMap<>();
     private final Map<InstanceName, Long> excludedUntilNanos = new HashMap<>();
@@ -39,8 +38,14 @@
     private Optional<Long> lastStoreReadNanos = Optional.empty();
     private boolean isStoreLost;
 
-    CollectorSelector(InstanceName self) {
+    /**
+     * Creates a selector.
+     *
+     * @param reportTimeout the time without a report after which a collector is excluded, which grows with the fleet
+     */
+    CollectorSelector(InstanceName self, Supplier<Duration> reportTimeout) {
         this.self = self;
+        this.reportTimeout = reportTimeout;
     }
 
     /** Records a collector's report; returns whether it is the first that can read the store after none could. */
@@ -48,10 +53,12 @@
         lastReportNanos.put(collector, nowNanos);
         excludedUntilNanos.remove(collector);
         if (storeUnavailable) {
-            storeUnavailableUntilNanos.put(collector, nowNanos + REPORT_TIMEOUT.toNanos());
+            storeUnavailableUntilNanos.put(
+                    collector, nowNanos + reportTimeout.get().toNanos());
             isStoreLost = isStoreLost
                     || lastStoreReadNanos
-                            .filter(last -> nowNanos - last <= REPORT_TIMEOUT.toNanos())
+                            .filter(last ->
+                                    nowNanos - last <= reportTimeout.get().toNanos())
                             .isEmpty();
             return false;
         }
@@ -104,6 +111,6 @@
     private boolean isOverdue(InstanceName name, long nowNanos) {
         long since = Math.max(
                 expectedSinceNanos.getOrDefault(name, nowNanos), lastReportNanos.getOrDefault(name, Long.MIN_VALUE));
-        return nowNanos - since > REPORT_TIMEOUT.toNanos();
+        return nowNanos - since > reportTimeout.get().toNanos();
     }
 }
--- a/relay/src/main/java/org/cowslippick/relay/peer/FleetMembership.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/FleetMembership.java
@@ -5,7 +5,6 @@
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
 import com.google.common.net.HostAndPort;
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -40,21 +39,6 @@
 
     private static final Logger LOGGER = Logger.getLogger("cowslippick.fleet");
 
-    /** Up to this many peers, direct reports cost less than aggregated ones and arrive sooner. */
-    private static final int MAXIMUM_DIRECT_PEERS = 12;
-
-    private static final Duration DIRECT_PERIOD = Duration.ofMillis(100);
-
-    /**
-     * The report period of a fleet with collectors, and its growth for every 128 instances, so that a collector's cost
-     * grows more slowly than the fleet.
-     */
-    private static final Duration COLLECTED_PERIOD = Duration.ofMillis(250);
-
-    private static final int INSTANCES_PER_PERIOD_STEP = 128;
-    private static final Duration MINIMUM_REPORT_TIMEOUT = Duration.ofMillis(800);
-    private static final int REPORT_TIMEOUT_PERIODS = 3;
-
     private final InstanceDirectory instances;
     private final TimerService timer;
     private final SharedQuotas quotas;
@@ -98,7 +82,8 @@
         this.localQueues = localQueues;
         this.stateSynchroniser = stateSynchroniser;
         this.collectorRoleListener = collectorRoleListener;
-        this.collectorSelector = new CollectorSelector(instances.self().name());
+        this.collectorSelector =
+                new CollectorSelector(instances.self().name(), () -> ReportSchedule.collectorTimeout(otherCount()));
         this.aggregator = new RegionAggregator(instances.self(), incarnation);
         instances.setServingPredicate(this::serves);
     }
@@ -180,8 +165,8 @@
 
     private void runReportCycle() {
         ImmutableList<Instance> others = instances.others();
-        timer.schedule(period(others.size()), this::runReportCycle);
-        usesCollectors = others.size() > MAXIMUM_DIRECT_PEERS;
+        timer.schedule(ReportSchedule.period(others.size()), this::runReportCycle);
+        usesCollectors = ReportSchedule.usesCollectors(others.size());
         InstanceReport report = report();
         ImmutableList<Instance> localCollectors = localCollectors();
         ImmutableSet<InstanceName> receivers = namesOfOthers(usesCollectors ? localCollectors : others);
@@ -282,19 +267,12 @@
 
     /** Excludes outdated reports: from the time when the fleet was small, or of instances that have left. */
     private Stream<ReceivedReport> recentReports(long nowNanos) {
-        long timeoutNanos = reportTimeout().toNanos();
+        long timeoutNanos = ReportSchedule.timeout(otherCount()).toNanos();
         return lastReports.values().stream().filter(entry -> nowNanos - entry.atNanos() <= timeoutNanos);
     }
 
-    private static Duration period(int others) {
-        return others <= MAXIMUM_DIRECT_PEERS
-                ? DIRECT_PERIOD
-                : COLLECTED_PERIOD.multipliedBy(1 + others / INSTANCES_PER_PERIOD_STEP);
-    }
-
-    private Duration reportTimeout() {
-        Duration periods = period(instances.others().size()).multipliedBy(REPORT_TIMEOUT_PERIODS);
-        return periods.compareTo(MINIMUM_REPORT_TIMEOUT) > 0 ? periods : MINIMUM_REPORT_TIMEOUT;
+    private int otherCount() {
+        return instances.others().size();
     }
 
     private InstanceReport report() {
