Heads of responses are checked as they were sent, not as the decoder read them

A success without an id on a new connection. And a sound response was refused: Via with an address (HTTP/1.1 192.168...), a repeated header other than the id.

Cause: the check saw the decoder's result, and knew one spelling. Change: the decoder keeps the bytes of the head and marks a response as invalid whose first line is not a status line, whose other lines are not headers, or that holds a second status line in any spelling. Each success needs an attempt id, and no response has two; other headers may be repeated. Trade-off: a response whose header holds a whole status line is refused, though it may be legal; it cannot be told from a joint.

--- a/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
@@ -18,14 +18,13 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.cowslippick.relay.log.LogLine;
-import org.cowslippick.relay.message.ResponseHeadValidator;
 import org.jboss.logging.Logger;
 
 /**
  * A connection to an endpoint, without pipelining. Bytes that arrive while no response is pending close the connection,
  * also before they make a whole message; a head that joins two responses fails the request. A response that carries the
- * attempt id of another request is skipped. A response without an attempt id is accepted only for the first request, as it
- * may be a late second response to an earlier one.
+ * attempt id of another request is skipped. A response without an attempt id is accepted only for the first request and only
+ * if it is a failure, as it may be a late second response to an earlier one.
  */
 @SuppressWarnings("FutureReturnValueIgnored")
 final class EndpointConnection extends ChannelInboundHandlerAdapter {
@@ -42,7 +41,6 @@
 
     private final HostAndPort address;
     private final String attemptIdHeader;
-    private final ResponseHeadValidator headValidator;
     private final ResponseDecoder decoder;
     private final Consumer<EndpointConnection> onReusable;
     private Optional<ResponseListener> listener = Optional.empty();
@@ -62,12 +60,10 @@
     EndpointConnection(
             HostAndPort address,
             String attemptIdHeader,
-            ResponseHeadValidator headValidator,
             ResponseDecoder decoder,
             Consumer<EndpointConnection> onReusable) {
         this.address = address;
         this.attemptIdHeader = attemptIdHeader;
-        this.headValidator = headValidator;
         this.decoder = decoder;
         this.onReusable = onReusable;
     }
@@ -180,21 +176,13 @@
     }
 
     private void read(HttpObject message) {
-        if (message.decoderResult().isFailure()) {
-            failAndClose("the endpoint sent an invalid HTTP response");
-            return;
-        }
-        if (message instanceof HttpResponse head && reused && !isIdentified(head)) {
-            failAndClose("the endpoint sent a response without an attempt id on a reused connection");
+        Optional<String> defect = findDefect(message);
+        if (defect.isPresent()) {
+            logDefect(defect.get());
+            failAndClose("the endpoint sent an invalid response: " + defect.get());
             return;
         }
         if (message instanceof HttpResponse head) {
-            Optional<String> defect = headValidator.findDefect(head);
-            if (defect.isPresent()) {
-                logDefect(head, defect.get());
-                failAndClose("the endpoint sent a head of two responses: " + defect.get());
-                return;
-            }
             readHead(head);
         }
         if (skippingResponse) {
@@ -223,9 +211,23 @@
         }
     }
 
-    /** A provisional response needs no id, as it is skipped. */
-    private boolean isIdentified(HttpResponse head) {
-        return head.headers().contains(attemptIdHeader) || head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    private Optional<String> findDefect(HttpObject message) {
+        if (message.decoderResult().isFailure()) {
+            return Optional.of(String.valueOf(message.decoderResult().cause().getMessage()));
+        }
+        return message instanceof HttpResponse head ? findAmbiguity(head) : Optional.empty();
+    }
+
+    /** A provisional response needs no id, as it is skipped; nor does the first failure, before which none can be late. */
+    private Optional<String> findAmbiguity(HttpResponse head) {
+        int ids = head.headers().getAll(attemptIdHeader).size();
+        boolean needsId = reused || head.status().codeClass() == HttpStatusClass.SUCCESS;
+        if (ids > 1) {
+            return Optional.of("two attempt ids");
+        }
+        return ids == 0 && needsId && head.status().codeClass() != HttpStatusClass.INFORMATIONAL
+                ? Optional.of("no attempt id")
+                : Optional.empty();
     }
 
     private void readHead(HttpResponse head) {
@@ -280,10 +282,8 @@
         }
     }
 
-    private void logDefect(HttpResponse head, String defect) {
-        LOGGER.warn(line("response-head-defect")
-                .with("status", head.status().code())
-                .with("cause", defect));
+    private void logDefect(String defect) {
+        LOGGER.warn(line("response-defect").with("cause", defect));
     }
 
     /** Begins a line with the connection's endpoint and last request, and how many it has carried. */
@@ -291,7 +291,6 @@
         return LogLine.of(event)
                 .with("endpoint", address.toString())
                 .with("id", attemptId.orElse(""))
-                .with("pending", isResponsePending())
                 .with("requests", sentAttemptIds.size());
     }
 
--- a/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnections.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnections.java
@@ -21,8 +21,6 @@
 import java.util.function.Supplier;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.time.TimerService;
-import org.cowslippick.relay.message.HeaderNames;
-import org.cowslippick.relay.message.ResponseHeadValidator;
 import org.cowslippick.relay.message.SocketOptions;
 import org.cowslippick.relay.time.LoopMonitor;
 
@@ -46,16 +44,14 @@
     private final TimerService timer;
     private final LoopMonitor monitor;
     private final String attemptIdHeader;
-    private final ResponseHeadValidator headValidator;
     private final Map<HostAndPort, Deque<EndpointConnection>> idle = new HashMap<>();
 
     /** Creates an empty pool. All methods must be called on the only event loop of the group. */
-    public EndpointConnections(EventLoopGroup loops, TimerService timer, LoopMonitor monitor, HeaderNames names) {
+    public EndpointConnections(EventLoopGroup loops, TimerService timer, LoopMonitor monitor, String attemptIdHeader) {
         this.loops = loops;
         this.timer = timer;
         this.monitor = monitor;
-        this.attemptIdHeader = names.attemptId();
-        this.headValidator = new ResponseHeadValidator(names.singleResponseHeaders());
+        this.attemptIdHeader = attemptIdHeader;
         timer.scheduleWithFixedDelay(EVICTION_PERIOD, this::evictExpired);
     }
 
@@ -127,8 +123,8 @@
     private void open(
             HostAndPort address, Supplier<Optional<Dispatch>> dispatch, ResponseListener listener, Handle handle) {
         ResponseDecoder decoder = new ResponseDecoder();
-        EndpointConnection connection = new EndpointConnection(
-                address, attemptIdHeader, headValidator, decoder, finished -> release(address, finished));
+        EndpointConnection connection =
+                new EndpointConnection(address, attemptIdHeader, decoder, finished -> release(address, finished));
         ChannelFuture connecting = bootstrap(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
--- a/relay/src/main/java/org/cowslippick/relay/endpoint/ResponseDecoder.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/ResponseDecoder.java
@@ -4,14 +4,14 @@
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
+import org.cowslippick.relay.message.StrictResponseDecoder;
 
 /**
  * Decodes HTTP responses; a response to a HEAD request has no body. Needs a channel that allows half closure, as only that
  * tells the end of the input from a reset.
  */
-final class ResponseDecoder extends HttpResponseDecoder {
+final class ResponseDecoder extends StrictResponseDecoder {
 
     private static final int MAXIMUM_STATUS_LINE_BYTES = 8192;
     private static final int MAXIMUM_HEADER_BYTES = 65_536;
--- a/relay/src/main/java/org/cowslippick/relay/message/HeaderNames.java
+++ b/relay/src/main/java/org/cowslippick/relay/message/HeaderNames.java
@@ -34,10 +34,4 @@
         String promptParts,
         String lengthHint,
         String lastEvent,
-        ImmutableSet<String> reservedHeaders) {
-
-    /** Headers on which the relay decides, and which an endpoint's response has once at most. */
-    public ImmutableSet<String> singleResponseHeaders() {
-        return ImmutableSet.of(attemptId, seal, notRun, rateLimit, leaving);
-    }
-}
+        ImmutableSet<String> reservedHeaders) {}
--- a/relay/src/main/java/org/cowslippick/relay/message/ResponseHeadValidator.java
+++ b/relay/src/main/java/org/cowslippick/relay/message/ResponseHeadValidator.java
@@ -1,50 +1,45 @@
 package org.cowslippick.relay.message;
 
-import com.google.common.collect.ImmutableSet;
-import io.netty.handler.codec.http.HttpResponse;
-import java.util.Map;
+import com.google.common.base.Splitter;
+import java.util.List;
 import java.util.Optional;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 /**
- * Finds heads that the HTTP decoder accepts although they consist of more than one response: a sender that stops within a
- * head and then writes another response continues the first head with the second one.
+ * Finds heads that are not those of one response (RFC 9112, sections 4 and 5). Any line may hold the status line of
+ * another response, which has been cut short or has been continued there.
  */
-public final class ResponseHeadValidator {
+final class ResponseHeadValidator {
 
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
+    private static final Splitter LINES = Splitter.on(Pattern.compile("\r?\n"));
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}(?: .*)?");
 
-    private final ImmutableSet<String> singleHeaders;
+    /** A name and a colon, or the continuation of the line before. White space in front of the colon is tolerated. */
+    private static final Pattern HEADER_LINE = Pattern.compile("[!#$%&'*+.^_`|~0-9A-Za-z-]+[ \t]*:.*|[ \t].*");
+
+    /** Also in spellings that decoders accept. */
+    private static final Pattern INNER_STATUS_LINE = Pattern.compile("(?i)HTTP/\\d\\.\\d[ \t]+\\d{3}(?!\\S)");
+
+    private ResponseHeadValidator() {}
 
     /**
-     * Creates a validator.
+     * Returns what shows that the head is not that of one response, if anything does.
      *
-     * @param singleHeaders names of headers that may occur once
+     * @param head the bytes of the head as ISO 8859-1, with or without the empty line at its end
      */
-    public ResponseHeadValidator(ImmutableSet<String> singleHeaders) {
-        this.singleHeaders = singleHeaders;
-    }
-
-    /** Returns what shows that the head is not that of one response, if anything does. */
-    public Optional<String> findDefect(HttpResponse head) {
-        if (containsStatusLine(head.status().reasonPhrase())) {
-            return Optional.of("a second status line in the reason phrase");
+    static Optional<String> findDefect(String head) {
+        List<String> lines = LINES.splitToList(head.strip());
+        if (!STATUS_LINE.matcher(lines.get(0)).matches()) {
+            return Optional.of("malformed status line");
+        }
+        if (lines.stream().skip(1).anyMatch(line -> !HEADER_LINE.matcher(line).matches())) {
+            return Optional.of("malformed header line");
         }
-        return head.headers().entries().stream()
-                .filter(header -> containsStatusLine(header.getValue()))
+        String reason = lines.get(0).substring("HTTP/1.1 200".length());
+        return Stream.concat(Stream.of(reason), lines.stream().skip(1))
+                .filter(text -> INNER_STATUS_LINE.matcher(text).find())
                 .findFirst()
-                .map(Map.Entry::getKey)
-                .map(name -> "a second status line in the header " + name)
-                .or(() -> findRepeatedHeader(head).map(name -> "more than one header " + name));
-    }
-
-    private Optional<String> findRepeatedHeader(HttpResponse head) {
-        return singleHeaders.stream()
-                .filter(name -> head.headers().getAll(name).size() > 1)
-                .findFirst();
-    }
-
-    private static boolean containsStatusLine(String text) {
-        return STATUS_LINE.matcher(text).find();
+                .map(_line -> "a second status line in the head");
     }
 }
--- a/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
@@ -99,7 +99,7 @@
         this.clock = new LoopClock(timer);
         LoopMonitor monitor = new LoopMonitor(loop, clock);
         LocalSlotQueues localQueues = new LocalSlotQueues(timer);
-        EndpointConnections connections = new EndpointConnections(loops, timer, monitor, NAMES);
+        EndpointConnections connections = new EndpointConnections(loops, timer, monitor, NAMES.attemptId());
         this.forwarder = new RequestForwarder(new ForwardingContext(
                 timer,
                 monitor,
