A request is not continued by the next one on its connection

Callers could see: a response to another request, and endpoints ran requests that no caller had sent.

Cause: the decoder keeps the beginning of a head until the head is whole. A caller that stops within a head and then sends another request has the first head continued by the second: "POST /read/1", the beginning of a header, and the id, key and body of "GET /read/2" made a POST of /read/1 with the id of the other request; "PO" and "GET /read/2" made the method POGET. In the same way a head was taken with two of a header on which the relay decides: it read the first, and the endpoint got both.

Change: a head gets 400 and its connection is closed if it has more than one Host (RFC 9112, section 3.2) or other header on which the relay decides, a value before Host that ends in a request line, or a method that ends in another one (but ORDERPATCH and PROPPATCH). Every other place where the first head can stop is refused by the decoder. Other repeated headers, methods of other standards, and request lines in values behind Host are forwarded as before.

Growth: one pass over the names of each request, no state.

--- a/relay/src/main/java/org/cowslippick/relay/caller/CallerConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/CallerConnection.java
@@ -243,8 +243,9 @@
     private void startRequest(HttpRequest request) {
         timeoutStartNanos = connections.timer().nanoTime();
         arrivedAtNanos = connectedAtNanos.orElseGet(this::earliestArrivalNanos);
-        if (hasAmbiguousLength(request)) {
-            reject(ErrorKind.MALFORMED_REQUEST, "the length of the body is ambiguous");
+        Optional<String> defect = connections.reader().findDefect(request);
+        if (defect.isPresent()) {
+            rejectMalformed(defect.get());
             return;
         }
         if (HttpUtil.getContentLength(request, 0L) > connections.limits().maximumBodyBytes()) {
@@ -259,18 +260,6 @@
                 HttpUtil.getContentLength(request, (long) connections.limits().maximumBodyBytes())));
     }
 
-    /** Requests with two lengths allow request smuggling (RFC 9112, section 6.3). */
-    private static boolean hasAmbiguousLength(HttpRequest request) {
-        boolean hasTransferEncoding = request.headers().contains(HttpHeaderNames.TRANSFER_ENCODING);
-        boolean isChunkedOnly =
-                request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).size() == 1
-                        && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(request.headers()
-                                .get(HttpHeaderNames.TRANSFER_ENCODING)
-                                .strip());
-        boolean hasContentLength = request.headers().contains(HttpHeaderNames.CONTENT_LENGTH);
-        return hasTransferEncoding && (hasContentLength || !isChunkedOnly);
-    }
-
     private void appendBody(ByteBuf bytes) {
         RequestBody current = body.orElseThrow();
         if (current.length() + bytes.readableBytes() > connections.limits().maximumBodyBytes()) {
@@ -307,10 +296,15 @@
             writeLast(new DefaultFullHttpResponse(
                     HttpVersion.HTTP_1_1, HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE));
         } else {
-            reject(ErrorKind.MALFORMED_REQUEST, "the request is not valid HTTP");
+            rejectMalformed("the request is not valid HTTP");
         }
     }
 
+    private void rejectMalformed(String defect) {
+        LOGGER.info(LogLine.of("request-malformed").with("cause", defect));
+        reject(ErrorKind.MALFORMED_REQUEST, defect);
+    }
+
     private void rejectTooLarge() {
         reject(ErrorKind.BODY_TOO_LARGE, "the limit is " + connections.limits().maximumBodyBytes() + " bytes");
     }
--- a/relay/src/main/java/org/cowslippick/relay/message/HeaderNames.java
+++ b/relay/src/main/java/org/cowslippick/relay/message/HeaderNames.java
@@ -34,4 +34,10 @@
         String promptParts,
         String lengthHint,
         String lastEvent,
-        ImmutableSet<String> reservedHeaders) {}
+        ImmutableSet<String> reservedHeaders) {
+
+    /** Headers on which the relay decides, and which a caller's request has once at most. */
+    public ImmutableSet<String> singleRequestHeaders() {
+        return ImmutableSet.of(attemptId, remainingTime, credential, tokenCounts, promptParts, lengthHint);
+    }
+}
--- a/relay/src/main/java/org/cowslippick/relay/message/RequestReader.java
+++ b/relay/src/main/java/org/cowslippick/relay/message/RequestReader.java
@@ -45,9 +45,16 @@
     private static final HashFunction FINGERPRINT_HASH = Hashing.murmur3_128();
 
     private final HeaderNames names;
+    private final RequestHeadValidator headValidator;
 
     public RequestReader(HeaderNames names) {
         this.names = names;
+        this.headValidator = new RequestHeadValidator(names.singleRequestHeaders());
+    }
+
+    /** Returns why the request must not be read, if there is a reason. */
+    public Optional<String> findDefect(HttpRequest head) {
+        return headValidator.findDefect(head);
     }
 
     /** Reads a request whose body has been received completely. */
