The head of a request is not taken for the trailers of another one

Callers could see: the response to a request as the answer to the next one, which got none.

Cause: a caller that stops behind the last chunk of a body, or in its trailers, and then sends another request has the header lines of that request read as trailers. A bare CR behind the size of the last chunk also hides the second request line. The first request was then complete and ran, and its response came where that of the second was due.

Change: trailers with a header on which the relay decides get 400 and the connection is closed; RFC 9110, section 6.5.1, forbids such trailers. Others are dropped as before.

A cut body with a Content-Length can't be told from a whole one.

Growth: none without trailers.

--- a/relay/src/main/java/org/cowslippick/relay/caller/CallerConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/CallerConnection.java
@@ -227,8 +227,8 @@
             if (message instanceof HttpContent content && head.isPresent()) {
                 appendBody(content.content());
             }
-            if (message instanceof LastHttpContent && head.isPresent()) {
-                completeRequest();
+            if (message instanceof LastHttpContent end && head.isPresent()) {
+                connections.reader().findDefect(end).ifPresentOrElse(this::rejectMalformed, this::completeRequest);
             }
         } finally {
             ReferenceCountUtil.release(message);
--- a/relay/src/main/java/org/cowslippick/relay/message/RequestHeadValidator.java
+++ b/relay/src/main/java/org/cowslippick/relay/message/RequestHeadValidator.java
@@ -11,8 +11,8 @@
 import java.util.regex.Pattern;
 
 /**
- * Finds heads that the HTTP decoder accepts although they are ambiguous, or consist of more than one request: a sender that
- * stops within a head and then writes another request continues the first head with the second one.
+ * Finds heads and trailers that the HTTP decoder accepts although they are ambiguous, or consist of more than one request: a sender that
+ * stops within a request and then writes another one continues the first with the second.
  */
 public final class RequestHeadValidator {
 
@@ -51,6 +51,17 @@
                 .or(() -> findRequestLine(head.headers()).map(name -> "a second request line in the header " + name));
     }
 
+    /**
+     * Returns what shows that the trailers are the head of another request, if anything does. Headers on which a recipient
+     * decides must not be trailers (RFC 9110, section 6.5.1).
+     */
+    public Optional<String> findTrailerDefect(HttpHeaders trailers) {
+        return singleHeaders.stream()
+                .filter(trailers::contains)
+                .findFirst()
+                .map(name -> "the header " + name + " behind the body");
+    }
+
     /** Requests with two lengths allow request smuggling (RFC 9112, section 6.3). */
     private static boolean hasAmbiguousLength(HttpHeaders headers) {
         List<String> encodings = headers.getAll(HttpHeaderNames.TRANSFER_ENCODING);
--- a/relay/src/main/java/org/cowslippick/relay/message/RequestReader.java
+++ b/relay/src/main/java/org/cowslippick/relay/message/RequestReader.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
@@ -52,11 +53,16 @@
         this.headValidator = new RequestHeadValidator(names.singleRequestHeaders());
     }
 
-    /** Returns why the request must not be read, if there is a reason. */
+    /** Returns why a request with this head must not be read, if there is a reason. */
     public Optional<String> findDefect(HttpRequest head) {
         return headValidator.findDefect(head);
     }
 
+    /** Returns why a request with this end must not be read, if there is a reason. */
+    public Optional<String> findDefect(LastHttpContent end) {
+        return headValidator.findTrailerDefect(end.trailingHeaders());
+    }
+
     /** Reads a request whose body has been received completely. */
     public CallerRequest read(HttpRequest head, ByteBuf body, long nowNanos) {
         HttpHeaders headers = head.headers();
--- a/relay/src/test/java/org/cowslippick/relay/JoinedRequestsTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/JoinedRequestsTest.java
@@ -37,6 +37,25 @@
         }
     }
 
+    /** The head of the second request would be the trailers of the first, whose response its sender would get. */
+    @Test
+    void chunkedBodyThatAnotherRequestContinuesIsRejected() throws Exception {
+        String head = "POST /read/1 HTTP/1.1\r\nHost: example.org\r\nX-Key: key\r\nX-Attempt: a1\r\n"
+                + "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+        String body = "2;x=\"y\"\r\nhi\r\n0\r\nX-Checksum: 12\r\n\r\n";
+        String[] responses = Collections.nCopies(body.length(), OK).toArray(new String[0]);
+        try (ScriptedEngine engine = new ScriptedEngine(responses);
+                RelayHarness relay = new RelayHarness(engine)) {
+            ImmutableList<String> accepted = IntStream.range(0, body.length())
+                    .mapToObj(length -> body.substring(0, length))
+                    .filter(beginning -> !send(relay, head + beginning + SECOND).startsWith("HTTP/1.1 400"))
+                    .collect(ImmutableList.toImmutableList());
+            assertEquals(ImmutableList.of(), accepted);
+            assertEquals(List.of(), engine.requests());
+            assertTrue(send(relay, head + body).startsWith("HTTP/1.1 200"));
+        }
+    }
+
     /** Such a head is ambiguous: the relay reads the first value, and an endpoint may read the last. */
     @ParameterizedTest
     @ValueSource(
