A request behind one that is refused at once hears of its caller

Callers could see: of pipelined requests, one behind a request that this instance refused at once (404, 401, 429, 503) was not ended with 503 or 502 before the process exited, but cut; and an endpoint went on with it after its caller had left.

Cause: the answer to the refused request started the next one while the handler of the refused request had not returned. Its listener was then kept as that of the next request, which got neither the close of its connection, nor its writability, nor the end of the process.

Class of fault: state that outlives the message it belongs to.

Change: the next request starts after the handler has returned.

Growth: none.

--- a/relay/src/main/java/org/cowslippick/relay/caller/CallerConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/CallerConnection.java
@@ -50,6 +50,7 @@
     private Optional<CallerListener> listener = Optional.empty();
     private ChannelHandlerContext context;
     private boolean responding;
+    private boolean handlingRequest;
     private boolean closing;
     private int unflushedResponses;
     private boolean readingHead;
@@ -184,7 +185,7 @@
         written.addListener(_done -> unflushedResponses--);
         if (closing) {
             written.addListener(_done -> closeAfterLinger());
-        } else {
+        } else if (!handlingRequest) {
             readPipelined();
         }
     }
@@ -279,7 +280,10 @@
         CallerRequest callerRequest =
                 connections.reader().read(request, body.orElseThrow().content(), arrivedAtNanos);
         closing = closing || connections.isDraining();
+        // A request that is answered at once is followed by the next one only after this method has ended.
+        handlingRequest = true;
         CallerListener requestListener = connections.handler().handle(callerRequest, new CallerExchange(this));
+        handlingRequest = false;
         if (responding) {
             listener = Optional.of(requestListener);
         }
--- a/relay/src/test/java/org/cowslippick/relay/caller/CallerConnectionTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/caller/CallerConnectionTest.java
@@ -40,7 +40,7 @@
 /** A connection whose response is still to be flushed, and the memory of the bodies of all connections. */
 class CallerConnectionTest {
 
-    private static final HeaderNames NAMES = new HeaderNames(
+    static final HeaderNames NAMES = new HeaderNames(
             "X-Attempt",
             "X-Remaining",
             "X-Key",
