A refused HEAD request gets no body

Callers could see: behind the head of an error of this instance to a HEAD request, the text of the error. A caller that keeps the connection takes it for the beginning of the response to its next request.

Cause: the text was written for each method. RFC 9110, section 9.3.2, forbids content in a response to HEAD.

Change: such a response ends with its head, and states the length that the text would have.

Evidence: RelayTest.aRefusedHeadRequestGetsNoBody; before, "content-length: 50", an empty line and "unknown-path: no route matches this host and path" came twice on one connection.

--- a/relay/src/main/java/org/cowslippick/relay/caller/CallerConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/CallerConnection.java
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -244,6 +245,7 @@
     private void startRequest(HttpRequest request) {
         timeoutStartNanos = connections.timer().nanoTime();
         arrivedAtNanos = connectedAtNanos.orElseGet(this::earliestArrivalNanos);
+        head = Optional.of(request);
         Optional<String> defect = connections.reader().findDefect(request);
         if (defect.isPresent()) {
             rejectMalformed(defect.get());
@@ -256,7 +258,6 @@
         if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
-        head = Optional.of(request);
         body = Optional.of(new RequestBody(connections.bodyMemory(), (int)
                 HttpUtil.getContentLength(request, (long) connections.limits().maximumBodyBytes())));
     }
@@ -282,7 +283,8 @@
         closing = closing || connections.isDraining();
         // A request that is answered at once is followed by the next one only after this method has ended.
         handlingRequest = true;
-        CallerListener requestListener = connections.handler().handle(callerRequest, new CallerExchange(this));
+        CallerListener requestListener =
+                connections.handler().handle(callerRequest, new CallerExchange(this, isHead(request)));
         handlingRequest = false;
         if (responding) {
             listener = Optional.of(requestListener);
@@ -314,9 +316,14 @@
     }
 
     private void reject(ErrorKind kind, String detail) {
+        boolean withoutBody = head.filter(CallerConnection::isHead).isPresent();
         head = Optional.empty();
         readingHead = false;
         closing = true;
-        new CallerExchange(this).fail(Failure.of(kind, detail));
+        new CallerExchange(this, withoutBody).fail(Failure.of(kind, detail));
+    }
+
+    private static boolean isHead(HttpRequest request) {
+        return request.method().equals(HttpMethod.HEAD);
     }
 }
--- a/relay/src/main/java/org/cowslippick/relay/caller/CallerExchange.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/CallerExchange.java
@@ -26,9 +26,16 @@
     private static final int FRACTION_DIGITS = 3;
 
     private final CallerConnection connection;
+    private final boolean withoutBody;
 
-    CallerExchange(CallerConnection connection) {
+    /**
+     * Creates the response to a request.
+     *
+     * @param withoutBody whether the request is a HEAD request, whose response ends with its head
+     */
+    CallerExchange(CallerConnection connection, boolean withoutBody) {
         this.connection = connection;
+        this.withoutBody = withoutBody;
     }
 
     /** Responds with an error that this relay generated. */
@@ -37,7 +44,7 @@
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(failure.kind().httpStatus()),
-                Unpooled.wrappedBuffer(body));
+                withoutBody ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body));
         response.headers()
                 .set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8")
                 .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
--- a/relay/src/test/java/org/cowslippick/relay/RelayTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayTest.java
@@ -181,6 +181,20 @@
         }
     }
 
+    /** A caller takes the bytes behind the head of such a response for the beginning of the next one. */
+    @Test
+    void aRefusedHeadRequestGetsNoBody() throws Exception {
+        try (ScriptedEngine engine = new ScriptedEngine();
+                RelayHarness relay = new RelayHarness(engine);
+                Socket socket = relay.open()) {
+            RelayHarness.send(socket, "HEAD", "/nothing/1", "Connection: keep-alive\r\n", "");
+            RelayHarness.send(socket, "HEAD", "/nothing/2", "", "");
+            String responses = RelayHarness.readAll(socket);
+            assertEquals(2, responses.split("content-length: 50\r\n", -1).length - 1, responses);
+            assertFalse(responses.contains("unknown-path"), responses);
+        }
+    }
+
     /** A faulty engine writes an earlier refusal once more on a kept connection, before it answers the next request. */
     @ParameterizedTest
     @ValueSource(strings = {"503 Service Unavailable", "429 Too Many Requests", "421 Misdirected Request"})
