A target with other than visible ASCII characters is rejected

Callers could see: an endpoint ran a request with another path or query than the caller's.

Cause: the target is decoded as ISO 8859-1 and written as UTF-8, so that each byte from 0x80 on reached the endpoint as two. Control characters, NUL among them, were passed on, and recipients read such a request line differently.

Change: such a target gets 400, which RFC 9112, section 3.2, asks for. A proper caller sends these bytes percent-encoded.

Evidence: RelayTest.rejectsATargetWithOtherThanVisibleAsciiCharacters; before, 5 of 5 cases got 200, and for "/read/1?name=" with the two bytes C3 A9 the engine got C3 83 C2 A9.

Growth: one pass over the target of each request.

--- a/relay/src/main/java/org/cowslippick/relay/message/RequestHeadValidator.java
+++ b/relay/src/main/java/org/cowslippick/relay/message/RequestHeadValidator.java
@@ -1,5 +1,6 @@
 package org.cowslippick.relay.message;
 
+import com.google.common.base.CharMatcher;
 import com.google.common.collect.ImmutableSet;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -22,6 +23,9 @@
     /** Registered methods that end in another one (RFC 3648, RFC 4918). */
     private static final ImmutableSet<String> METHODS_ENDING_IN_ANOTHER = ImmutableSet.of("ORDERPATCH", "PROPPATCH");
 
+    /** What a target may consist of (RFC 3986), and further characters that callers send. */
+    private static final CharMatcher VISIBLE_CHARACTERS = CharMatcher.inRange('!', '~');
+
     private static final Pattern END_OF_REQUEST_LINE = Pattern.compile("\\sHTTP/\\d\\.\\d$");
 
     private final ImmutableSet<String> singleHeaders;
@@ -43,6 +47,9 @@
         if (hasAmbiguousLength(head.headers())) {
             return Optional.of("the length of the body is ambiguous");
         }
+        if (!VISIBLE_CHARACTERS.matchesAllOf(head.uri())) {
+            return Optional.of("the target has other characters than visible ones of ASCII");
+        }
         if (isJoinedMethod(head.method().name())) {
             return Optional.of("the method ends in another method");
         }
--- a/relay/src/test/java/org/cowslippick/relay/RelayTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayTest.java
@@ -181,6 +181,19 @@
         }
     }
 
+    /** The bytes of such a target would reach the endpoint changed: it is decoded as ISO 8859-1 and written as UTF-8. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {"/read/\u00e9", "/read/1?name=\u00c3\u00a9", "/read/\u0001", "/read/\u0000", "/read/\u007f"})
+    void rejectsATargetWithOtherThanVisibleAsciiCharacters(String target) throws Exception {
+        try (ScriptedEngine engine = new ScriptedEngine(OK);
+                RelayHarness relay = new RelayHarness(engine)) {
+            String response = relay.call("GET", target, "", "");
+            assertTrue(response.startsWith("HTTP/1.1 400"), response + engine.requests());
+            assertTrue(engine.requests().isEmpty());
+        }
+    }
+
     /** A caller takes the bytes behind the head of such a response for the beginning of the next one. */
     @Test
     void aRefusedHeadRequestGetsNoBody() throws Exception {
