A kept connection to an endpoint is read again after a slow caller

Callers could see: 504, or a stream that never began, for a request on a connection on which a slow caller's stream had just ended.

Cause: reading from an endpoint is paused while its caller's buffer is full. If the part of a stream that fills the buffer arrives together with the end of the stream, the connection is kept while it is paused. The caller's buffer then drains after its request has ended, and nothing resumes reading: the connection notices neither the next response nor a close.

Class of fault: state of a connection that outlives the message it belongs to.

Change: a connection that is kept reads again.

Evidence: EndpointConnectionTest; before, the kept connection did not read ("expected: <true> but was: <false>"). Not tried over sockets.

--- a/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
@@ -263,6 +263,7 @@
         }
         if (reusable && requestFlushed && bytesBehind == 0) {
             reused = true;
+            setReading(true);
             onReusable.accept(this);
         } else {
             context.close();
