--- a/relay/src/test/java/org/cowslippick/relay/endpoint/EndpointConnectionTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/endpoint/EndpointConnectionTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import com.google.common.collect.ImmutableSet;
 import com.google.common.net.HostAndPort;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -16,7 +15,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import org.cowslippick.relay.message.ResponseHeadValidator;
 import org.junit.jupiter.api.Test;
 
 /** A connection to an endpoint that is kept after a response. */
@@ -28,11 +26,7 @@
     private final List<EndpointConnection> kept = new ArrayList<>();
     private final ResponseDecoder decoder = new ResponseDecoder();
     private final EndpointConnection connection = new EndpointConnection(
-            HostAndPort.fromParts("127.0.0.1", 1),
-            "X-Attempt",
-            new ResponseHeadValidator(ImmutableSet.of()),
-            decoder,
-            kept::add);
+            HostAndPort.fromParts("127.0.0.1", 1), "X-Attempt", decoder, kept::add);
     private final EmbeddedChannel channel = new EmbeddedChannel(decoder, new HttpRequestEncoder(), connection);
 
     /** The response to the next request was never read, if the caller of this one had read slowly. */
