--- a/relay/src/main/java/org/cowslippick/relay/message/ResponseHeadValidator.java
+++ b/fleet/src/main/java/org/cowslippick/fleet/http/ResponseHeadValidator.java
@@ -1,4 +1,4 @@
-package org.cowslippick.relay.message;
+package org.cowslippick.fleet.http;
 
 import com.google.common.base.Splitter;
 import java.util.List;
--- a/relay/src/main/java/org/cowslippick/relay/message/StrictResponseDecoder.java
+++ b/fleet/src/main/java/org/cowslippick/fleet/http/StrictResponseDecoder.java
@@ -1,4 +1,4 @@
-package org.cowslippick.relay.message;
+package org.cowslippick.fleet.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
--- /dev/null
+++ b/fleet/src/main/java/org/cowslippick/fleet/http/package-info.java
@@ -0,0 +1,2 @@
+/** What all HTTP clients share. */
+package org.cowslippick.fleet.http;
--- a/relay/src/main/java/org/cowslippick/relay/endpoint/ResponseDecoder.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/ResponseDecoder.java
@@ -5,7 +5,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
-import org.cowslippick.relay.message.StrictResponseDecoder;
+import org.cowslippick.fleet.http.StrictResponseDecoder;
 
 /**
  * Decodes HTTP responses; a response to a HEAD request has no body. Needs a channel that allows half closure, as only that
