--- a/entry/src/test/java/org/cowslippick/entry/endpoint/ApplicationEngineClientTest.java
+++ b/entry/src/test/java/org/cowslippick/entry/endpoint/ApplicationEngineClientTest.java
@@ -26,6 +26,14 @@
         assertEquals("failed", EngineDispatch.applicationOutcome(truncated));
     }
 
+    /** A call that is redirected may have run, and must not be sent again. */
+    @ParameterizedTest
+    @ValueSource(strings = {"302 Found", "307 Temporary Redirect"})
+    void aRedirectIsNotFollowed(String status) throws Exception {
+        String redirect = "HTTP/1.1 " + status + "\r\nLocation: /v1/calls\r\nContent-Length: 0\r\n\r\n";
+        assertEquals("failed", EngineDispatch.applicationOutcome(redirect, HEAD + "Content-Length: 2\r\n\r\n{}"));
+    }
+
     @Test
     void aWholeResponseIsCompleted() throws Exception {
         assertEquals("completed: {}", EngineDispatch.applicationOutcome(HEAD + "Content-Length: 2\r\n\r\n{}"));
--- a/entry/src/test/java/org/cowslippick/entry/endpoint/EngineDispatch.java
+++ b/entry/src/test/java/org/cowslippick/entry/endpoint/EngineDispatch.java
@@ -37,20 +37,27 @@
 
     /** The terminal call of the listener for a call of an application engine. */
     static String applicationOutcome(String response) throws Exception {
-        return outcome(EndpointKind.APPLICATION, new ApplicationCall(new ServiceName("booking"), "{}"), response);
+        return applicationOutcome(response, NOT_FOUND);
+    }
+
+    /** As above; the engine writes the second response on later connections. */
+    static String applicationOutcome(String response, String later) throws Exception {
+        return outcome(
+                EndpointKind.APPLICATION, new ApplicationCall(new ServiceName("booking"), "{}"), response, later);
     }
 
     /** The terminal call of the listener for a stream of a model engine. */
     static String modelOutcome(String response) throws Exception {
-        return outcome(EndpointKind.MODEL, new ModelCall("model-1", "[]", 1), response);
+        return outcome(EndpointKind.MODEL, new ModelCall("model-1", "[]", 1), response, NOT_FOUND);
     }
 
-    private static String outcome(EndpointKind kind, EndpointCall call, String response) throws Exception {
+    private static String outcome(EndpointKind kind, EndpointCall call, String response, String later)
+            throws Exception {
         CompletableFuture<String> outcome = new CompletableFuture<>();
         try (DefaultExecController controller = new DefaultExecController(1);
                 EndpointHttpClient http = new EndpointHttpClient(controller);
                 ServerSocket server = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
-            new Thread(() -> serve(server, response), "engine").start();
+            new Thread(() -> serve(server, response, later), "engine").start();
             new EndpointClients(new ModelEngineClient(http), new ApplicationEngineClient(http))
                     .dispatch(
                             endpoint(kind, server.getLocalPort()),
@@ -72,11 +79,11 @@
                 FencingSupport.IGNORED);
     }
 
-    private static void serve(ServerSocket server, String response) {
+    private static void serve(ServerSocket server, String response, String later) {
         try {
             respond(server, response);
             while (true) {
-                respond(server, NOT_FOUND);
+                respond(server, later);
             }
         } catch (IOException _closed) {
             // The dispatch has ended.
