The entry takes only a whole response, alone in its head, from an engine

Callers could see: an empty or short "answer" for a request that its engine answered with 500; a request that an engine had run was taken as refused and run by another engine; a call that an engine redirected was sent again; a stream whose engine stopped within the head and closed was neither resumed nor failed. Found by tests with scripted engines, not in a record.

Cause: Ratpack's HTTP client does not pass on the decoder's mark of an invalid message, drops the end of a connection that comes with such a head, and follows redirects. Class of fault: a head accepted for what it contains. Connections were never reused here.

Change: EngineConnection sends a request to an engine on a connection of its own and fails on a marked message, on a head of two responses and on an early end; it closes the connection after the response. A refusal counts when its response is whole. Ratpack's client stays for the probe and for cancelling, whose responses decide nothing but that there is one.

Evidence: JoinedEngineResponsesTest (228 cases, 63 failed before), ModelEngineClientTest (6, 3 failed) and ApplicationEngineClientTest (10, 2 failed) pass, as do InFlightRequestTest (19) and JoinedResponsesTest of relay (417). The 30 tests of standin passed before the two clients' building of a request was merged into EndpointHttpClient.post; not run again since.

--- a/entry/src/main/java/org/cowslippick/entry/endpoint/ApplicationEngineClient.java
+++ b/entry/src/main/java/org/cowslippick/entry/endpoint/ApplicationEngineClient.java
@@ -1,16 +1,17 @@
 package org.cowslippick.entry.endpoint;
 
+import io.netty.handler.codec.http.FullHttpRequest;
 import org.cowslippick.core.error.ErrorKind;
 import org.cowslippick.core.error.Failure;
 import org.cowslippick.core.request.RequestId;
 import org.cowslippick.core.world.Endpoint;
 import org.cowslippick.entry.endpoint.EndpointCall.ApplicationCall;
-import ratpack.http.client.ReceivedResponse;
 
 /** Calls application engines, each call with one HTTP request and one response. */
+@SuppressWarnings("FutureReturnValueIgnored")
 public final class ApplicationEngineClient implements EndpointClient {
 
-    private static final int REFUSED_STATUS = 503;
+    private static final String PATH = "/v1/calls";
 
     private final EndpointHttpClient http;
 
@@ -23,28 +24,29 @@
     public Dispatch dispatch(Endpoint endpoint, RequestId request, EndpointCall call, DispatchListener listener) {
         OneShotDispatchListener oneShot = new OneShotDispatchListener(listener);
         ApplicationCall application = (ApplicationCall) call;
-        http.controller()
-                .fork()
-                .onError(cause -> requestFailed(endpoint, oneShot, cause))
-                .start(_execution -> http.client()
-                        .request(EndpointHttpClient.uri(endpoint, "/v1/calls"), spec -> {
-                            spec.post();
-                            spec.getHeaders().set(EndpointHttpClient.REQUEST_ID_HEADER, request.value());
-                            spec.getHeaders()
-                                    .set(
-                                            EndpointHttpClient.SERVICE_HEADER,
-                                            application.service().value());
-                            spec.getBody().type("application/json").text(application.body());
-                        })
-                        .then(response -> responseReceived(endpoint, request, oneShot, response)));
+        http.exchange(endpoint, toRequest(request, application)).whenComplete((response, failure) -> {
+            if (failure == null) {
+                responseReceived(endpoint, request, oneShot, response);
+            } else {
+                requestFailed(endpoint, oneShot, failure);
+            }
+        });
         return oneShot::terminate;
     }
 
+    private static FullHttpRequest toRequest(RequestId request, ApplicationCall call) {
+        FullHttpRequest httpRequest = EndpointHttpClient.post(PATH, request, call.body());
+        httpRequest
+                .headers()
+                .set(EndpointHttpClient.SERVICE_HEADER, call.service().value());
+        return httpRequest;
+    }
+
     private static void responseReceived(
-            Endpoint endpoint, RequestId request, OneShotDispatchListener oneShot, ReceivedResponse response) {
-        String answeredRequest = response.getHeaders().get(EndpointHttpClient.REQUEST_ID_HEADER);
-        int status = response.getStatusCode();
-        if (status == REFUSED_STATUS && response.getHeaders().contains(EndpointHttpClient.NOT_STARTED_HEADER)) {
+            Endpoint endpoint, RequestId request, OneShotDispatchListener oneShot, EngineResponse response) {
+        String answeredRequest = response.headers().get(EndpointHttpClient.REQUEST_ID_HEADER);
+        int status = response.status();
+        if (EndpointHttpClient.isRefusal(status, response.headers())) {
             oneShot.refused("endpoint " + endpoint.name() + " refused request " + request);
         } else if (status != 200) {
             oneShot.failed(
@@ -60,11 +62,11 @@
                             "endpoint " + endpoint.name() + " responded to request " + request
                                     + " with the answer to another request"));
         } else {
-            complete(endpoint, oneShot, response.getBody().getText());
+            complete(endpoint, oneShot, response.body());
         }
     }
 
-    /** The HTTP client passes on a response that stopped in its head, or had no length, as if it were whole. */
+    /** A response without a length counts as whole wherever its connection is closed. */
     private static void complete(Endpoint endpoint, OneShotDispatchListener oneShot, String body) {
         if (Json.read(body).isPresent()) {
             oneShot.completed(body);
@@ -84,8 +86,7 @@
             return;
         }
         Failure failure = Failure.of(
-                ErrorKind.ENDPOINT_FAILED,
-                "connection to endpoint " + endpoint.name() + " failed: " + cause.getMessage());
+                ErrorKind.ENDPOINT_FAILED, "connection to endpoint " + endpoint.name() + " failed: " + cause);
         http.probe(
                 endpoint,
                 reachable -> oneShot.failed(reachable ? DispatchFault.FAILED : DispatchFault.CRASHED, failure));
--- a/entry/src/main/java/org/cowslippick/entry/endpoint/ModelStream.java
+++ b/entry/src/main/java/org/cowslippick/entry/endpoint/ModelStream.java
@@ -2,6 +2,13 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.ReadTimeoutException;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
@@ -10,30 +17,22 @@
 import org.cowslippick.core.request.RequestId;
 import org.cowslippick.core.world.Endpoint;
 import org.cowslippick.entry.endpoint.EndpointCall.ModelCall;
-import org.reactivestreams.Subscriber;
-import org.reactivestreams.Subscription;
-import ratpack.exec.Downstream;
-import ratpack.exec.Promise;
-import ratpack.func.Action;
-import ratpack.http.client.HttpClientReadTimeoutException;
-import ratpack.http.client.RequestSpec;
-import ratpack.http.client.StreamedResponse;
 
 /**
  * The streamed answer of a model engine. If the connection is lost or silent, a new one resumes the answer at the next
  * offset, so that the request does not run again. The behaviour of the new connection decides which fault is reported.
  */
+@SuppressWarnings("FutureReturnValueIgnored")
 final class ModelStream implements Dispatch {
 
     private static final String DONE = "[DONE]";
-    private static final int REFUSED_STATUS = 503;
     private static final int MAXIMUM_UNANSWERED_RESUMES = 2;
 
     private final EndpointHttpClient http;
     private final Endpoint endpoint;
     private final RequestId request;
     private final OneShotDispatchListener listener;
-    private final AtomicReference<Subscription> subscription = new AtomicReference<>();
+    private final AtomicReference<Channel> channel = new AtomicReference<>();
     private final AtomicInteger connections = new AtomicInteger();
     private final AtomicInteger unansweredResumes = new AtomicInteger();
     private volatile int nextOffset;
@@ -48,51 +47,28 @@
     void start(ModelCall call) {
         String body = "{\"model\":" + Json.write(call.model()) + ",\"messages\":" + call.messages() + ",\"max_tokens\":"
                 + call.maximumAnswerTokens() + ",\"stream\":true}";
-        open("/v1/chat/completions", spec -> {
-            spec.post();
-            spec.getHeaders().set(EndpointHttpClient.REQUEST_ID_HEADER, request.value());
-            spec.getBody().type("application/json").text(body);
-        });
+        open(EndpointHttpClient.post("/v1/chat/completions", request, body));
     }
 
     @Override
     public void cancel() {
         if (listener.terminate()) {
-            Optional.ofNullable(subscription.get()).ifPresent(Subscription::cancel);
+            Optional.ofNullable(channel.get()).ifPresent(Channel::close);
             cancelAtEndpoint();
         }
     }
 
     private void resume() {
-        open("/v1/requests/" + request + "/stream?offset=" + nextOffset, RequestSpec::get);
+        open(new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1, HttpMethod.GET, "/v1/requests/" + request + "/stream?offset=" + nextOffset));
     }
 
-    private void open(String path, Action<RequestSpec> configure) {
-        int connection = connections.incrementAndGet();
-        Action<RequestSpec> timed = spec -> {
-            spec.readTimeout(EndpointHttpClient.SILENCE_TIMEOUT);
-            configure.execute(spec);
-        };
-        http.controller()
-                .fork()
-                .onError(cause -> connectionEnded(connection, cause))
-                .start(_execution -> http.client()
-                        .requestStream(EndpointHttpClient.uri(endpoint, path), timed)
-                        .flatMap(response -> read(connection, response))
-                        .then(_done -> connectionEnded(
-                                connection,
-                                new IllegalStateException("the stream ended before the answer was complete"))));
-    }
-
-    private Promise<Boolean> read(int connection, StreamedResponse response) {
-        int status = response.getStatusCode();
-        if (status == REFUSED_STATUS && response.getHeaders().contains(EndpointHttpClient.NOT_STARTED_HEADER)) {
-            listener.refused("endpoint " + endpoint.name() + " refused request " + request);
-        } else if (status != 200) {
-            listener.failed(DispatchFault.FAILED, endpointFailure("responded with HTTP status " + status));
+    private void open(FullHttpRequest httpRequest) {
+        Channel opened = http.stream(endpoint, httpRequest, new TokenReader(connections.incrementAndGet()));
+        channel.set(opened);
+        if (listener.hasTerminated()) {
+            opened.close();
         }
-        unansweredResumes.set(0);
-        return Promise.async(downstream -> response.getBody().subscribe(new TokenReader(connection, downstream)));
     }
 
     /** Resumes or fails the answer after its connection ends, unless it is complete or a newer connection is in use. */
@@ -105,7 +81,7 @@
             connectFailed(isFirst, cause);
         } else if (unansweredResumes.incrementAndGet() <= MAXIMUM_UNANSWERED_RESUMES) {
             resume();
-        } else if (cause instanceof HttpClientReadTimeoutException) {
+        } else if (cause instanceof ReadTimeoutException) {
             listener.failed(
                     DispatchFault.SILENT,
                     Failure.of(
@@ -170,50 +146,54 @@
                 .then(_response -> {}));
     }
 
-    /** Reads the body of one response and completes the promise when the body ends. */
-    private final class TokenReader implements Subscriber<ByteBuf> {
+    /** Reads one response. A refusal counts only when its response is whole. */
+    private final class TokenReader implements EngineResponseListener {
         private final int connection;
-        private final Downstream<? super Boolean> downstream;
         private final ServerSentEventParser parser = new ServerSentEventParser();
+        private boolean isRefusal;
 
-        TokenReader(int connection, Downstream<? super Boolean> downstream) {
+        TokenReader(int connection) {
             this.connection = connection;
-            this.downstream = downstream;
         }
 
         @Override
-        public void onSubscribe(Subscription opened) {
-            subscription.set(opened);
-            if (listener.hasTerminated() || connection != connections.get()) {
-                opened.cancel();
-                downstream.success(true);
-            } else {
-                opened.request(Long.MAX_VALUE);
+        public void headReceived(int status, HttpHeaders headers) {
+            isRefusal = EndpointHttpClient.isRefusal(status, headers);
+            if (isRefusal) {
+                return;
+            }
+            if (status != 200) {
+                listener.failed(DispatchFault.FAILED, endpointFailure("responded with HTTP status " + status));
             }
+            unansweredResumes.set(0);
         }
 
         @Override
-        public void onNext(ByteBuf buffer) {
+        public void contentReceived(ByteBuf content) {
+            if (isRefusal || connection != connections.get()) {
+                return;
+            }
             try {
-                if (connection == connections.get()) {
-                    parser.feed(ByteBufUtil.getBytes(buffer)).forEach(ModelStream.this::handleEvent);
-                }
+                parser.feed(ByteBufUtil.getBytes(content)).forEach(ModelStream.this::handleEvent);
             } catch (IllegalArgumentException malformed) {
                 listener.failed(
                         DispatchFault.FAILED, endpointFailure("sent a malformed stream: " + malformed.getMessage()));
-            } finally {
-                buffer.release();
             }
         }
 
         @Override
-        public void onError(Throwable cause) {
-            downstream.error(cause);
+        public void ended() {
+            if (isRefusal) {
+                listener.refused("endpoint " + endpoint.name() + " refused request " + request);
+            } else {
+                connectionEnded(
+                        connection, new IllegalStateException("the stream ended before the answer was complete"));
+            }
         }
 
         @Override
-        public void onComplete() {
-            downstream.success(true);
+        public void failed(Throwable cause) {
+            connectionEnded(connection, cause);
         }
     }
 }
