Each call to the platform has a connection of its own

Callers could see: the object, the list or the outcome of another call to the platform, such as settings of another kind, taken for the one that was asked for.

Cause: HttpPlatform kept up to 16 connections, and nothing ties a response to its request. A response that is sent a second time while the next request on its connection is pending was that request's response.

Change: no connection is kept. Watches had one each and still have.

Growth: one TCP connection a call, about 7 more segments or 400 bytes (worked out, not measured), so 8 KB/s while an entry makes the 20 calls a second that its settings allow by default. Ratpack leaves the end of such a connection to the server, which gets "Connection: close"; a platform that ignores it would keep them open (by reading).

--- a/fleet/src/main/java/org/cowslippick/fleet/platform/HttpPlatform.java
+++ b/fleet/src/main/java/org/cowslippick/fleet/platform/HttpPlatform.java
@@ -24,7 +24,8 @@
 /**
  * The platform's object API over HTTP. A call that never reached the platform, or that was refused with status 429 or
  * 503, gives {@link PlatformFault#UNAVAILABLE}; a write that was sent but has no conclusive response gives
- * {@link PlatformFault#ANSWER_LOST}.
+ * {@link PlatformFault#ANSWER_LOST}. Each call has a connection of its own, as nothing in a response tells to which call it
+ * belongs.
  */
 public final class HttpPlatform implements Platform, AutoCloseable {
 
@@ -32,7 +33,6 @@
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration READ_TIMEOUT = Duration.ofSeconds(3);
     private static final int MAXIMUM_RESPONSE_BYTES = 64 << 20;
-    private static final int MAXIMUM_IDLE_CONNECTIONS = 16;
 
     private final URI address;
     private final ExecController controller;
@@ -180,7 +180,6 @@
         try {
             return HttpClient.of(spec -> spec.execController(controller)
                     .byteBufAllocator(PooledByteBufAllocator.DEFAULT)
-                    .poolSize(MAXIMUM_IDLE_CONNECTIONS)
                     .connectTimeout(CONNECT_TIMEOUT)
                     .readTimeout(READ_TIMEOUT)
                     .maxContentLength(MAXIMUM_RESPONSE_BYTES));
