Bytes that the decoder skips in front of a head are not kept

Could be seen: the memory of an instance grows with the empty lines that a faulty engine writes without end, which the HTTP decoder skips without a limit (by reading). Change: they are not added to the head that is checked. StrictResponseDecoderTest holds what the decoder takes and refuses, byte by byte too; it does not show the memory.

--- a/fleet/src/main/java/org/cowslippick/fleet/http/StrictResponseDecoder.java
+++ b/fleet/src/main/java/org/cowslippick/fleet/http/StrictResponseDecoder.java
@@ -1,5 +1,6 @@
 package org.cowslippick.fleet.http;
 
+import com.google.common.base.CharMatcher;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
@@ -16,6 +17,9 @@
  */
 public class StrictResponseDecoder extends HttpResponseDecoder {
 
+    private static final CharMatcher SKIPPED_IN_FRONT =
+            CharMatcher.javaIsoControl().or(CharMatcher.whitespace());
+
     private final StringBuilder head = new StringBuilder();
     private boolean isReadingHead = true;
 
@@ -29,11 +33,18 @@
         int count = decoded.size();
         super.decode(context, buffer, decoded);
         if (isReadingHead) {
-            head.append(buffer.toString(start, buffer.readerIndex() - start, StandardCharsets.ISO_8859_1));
+            append(buffer.toString(start, buffer.readerIndex() - start, StandardCharsets.ISO_8859_1));
         }
         decoded.subList(count, decoded.size()).forEach(this::check);
     }
 
+    /** The superclass limits the length of a head, but not that of what it skips in front of one. */
+    private void append(String bytes) {
+        if (head.length() > 0 || !SKIPPED_IN_FRONT.matchesAllOf(bytes)) {
+            head.append(bytes);
+        }
+    }
+
     private void check(Object message) {
         if (message instanceof HttpResponse response) {
             isReadingHead = false;
