--- a/relay/src/main/java/org/cowslippick/relay/message/RequestHeadValidator.java
+++ b/relay/src/main/java/org/cowslippick/relay/message/RequestHeadValidator.java
@@ -12,8 +12,8 @@
 import java.util.regex.Pattern;
 
 /**
- * Finds heads and trailers that the HTTP decoder accepts although they are ambiguous, or consist of more than one request: a sender that
- * stops within a request and then writes another one continues the first with the second.
+ * Finds heads and trailers that the HTTP decoder accepts although they are ambiguous, or consist of more than one request:
+ * a sender that stops within a request and then writes another one continues the first with the second.
  */
 public final class RequestHeadValidator {
 
