--- a/core/src/main/java/org/cowslippick/core/routing/LiveEndpoint.java
+++ b/core/src/main/java/org/cowslippick/core/routing/LiveEndpoint.java
@@ -12,6 +12,7 @@
  * @param slots the maximum number of concurrent requests
  * @param leaving whether it has asked to receive no new requests
  * @param startedAtMilliseconds when the run started, by the endpoint's own clock; 0 if unknown
+ * @param softwareVersion the version of the endpoint's software; empty if unknown
  */
 public record LiveEndpoint(
         String id,
@@ -21,7 +22,21 @@
         int slots,
         boolean leaving,
         long version,
-        long startedAtMilliseconds) {
+        long startedAtMilliseconds,
+        String softwareVersion) {
+
+    /** Creates an endpoint whose software version is unknown. */
+    public LiveEndpoint(
+            String id,
+            ServiceName service,
+            HostAndPort address,
+            FailureDomain failureDomain,
+            int slots,
+            boolean leaving,
+            long version,
+            long startedAtMilliseconds) {
+        this(id, service, address, failureDomain, slots, leaving, version, startedAtMilliseconds, "");
+    }
 
     /** Creates an endpoint whose start is unknown. */
     public LiveEndpoint(
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
@@ -23,6 +23,7 @@
 import org.cowslippick.core.error.ErrorKind;
 import org.cowslippick.core.error.Failure;
 import org.cowslippick.core.routing.LiveEndpoint;
+import org.cowslippick.core.routing.OrganisationAccess;
 import org.cowslippick.core.routing.Route;
 import org.cowslippick.core.routing.RouteKind;
 import org.cowslippick.core.routing.RoutedService;
@@ -204,7 +205,9 @@
                 queueDeadlineNanos(maximumFirstWait(route)),
                 queueDeadlineNanos(maximumRetryWait(route)),
                 expiresAtNanos,
-                ImmutableSet.copyOf(triedEndpoints));
+                ImmutableSet.copyOf(triedEndpoints),
+                admission.organisation().map(OrganisationAccess::name),
+                ImmutableSet.of());
     }
 
     private long queueDeadlineNanos(Duration wait) {
--- a/relay/src/main/java/org/cowslippick/relay/peer/SlotMessages.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/SlotMessages.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import org.cowslippick.core.routing.LiveEndpoint;
+import org.cowslippick.core.world.OrganisationName;
 import org.cowslippick.core.world.Region;
 import org.cowslippick.core.world.ServiceName;
 import org.cowslippick.fleet.wire.MessageReader;
@@ -24,6 +25,9 @@
  */
 final class SlotMessages {
 
+    /** Stands for the absence of an organisation, whose name is never empty. */
+    private static final String ANONYMOUS = "";
+
     private SlotMessages() {}
 
     /** All message types of this class, for registration. */
@@ -67,7 +71,9 @@
             long remainingQueueNanos,
             long remainingRetryQueueNanos,
             long remainingLifetimeNanos,
-            ImmutableSet<String> excluded) {
+            ImmutableSet<String> excluded,
+            Optional<OrganisationName> organisation,
+            ImmutableSet<String> connected) {
 
         static RelativeSlotRequest of(SlotRequest request, long nowNanos) {
             return new RelativeSlotRequest(
@@ -84,7 +90,9 @@
                     request.queueDeadlineNanos() - nowNanos,
                     request.retryQueueDeadlineNanos() - nowNanos,
                     request.expiresAtNanos() - nowNanos,
-                    request.excludedEndpoints());
+                    request.excludedEndpoints(),
+                    request.organisation(),
+                    request.connectedEndpoints());
         }
 
         SlotRequest toRequest(SlotKey key, long nowNanos) {
@@ -103,7 +111,9 @@
                     nowNanos + remainingQueueNanos,
                     nowNanos + remainingRetryQueueNanos,
                     nowNanos + remainingLifetimeNanos,
-                    excluded);
+                    excluded,
+                    organisation,
+                    connected);
         }
 
         private static void encode(RelativeSlotRequest request, MessageWriter writer) {
@@ -121,6 +131,8 @@
             writer.writeLong(request.remainingRetryQueueNanos);
             writer.writeLong(request.remainingLifetimeNanos);
             writer.writeList(request.excluded, (id, list) -> list.writeString(id));
+            writer.writeString(request.organisation.map(OrganisationName::value).orElse(ANONYMOUS));
+            writer.writeList(request.connected, (id, list) -> list.writeString(id));
         }
 
         private static RelativeSlotRequest decode(MessageReader reader) {
@@ -138,6 +150,10 @@
                     reader.readLong(),
                     reader.readLong(),
                     reader.readLong(),
+                    ImmutableSet.copyOf(reader.readList(MessageReader::readString)),
+                    Optional.of(reader.readString())
+                            .filter(name -> !name.equals(ANONYMOUS))
+                            .map(OrganisationName::new),
                     ImmutableSet.copyOf(reader.readList(MessageReader::readString)));
         }
     }
--- a/relay/src/main/java/org/cowslippick/relay/peer/StateSyncMessages.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/StateSyncMessages.java
@@ -134,6 +134,7 @@
         writer.writeBoolean(endpoint.leaving());
         writer.writeLong(endpoint.version());
         writer.writeLong(endpoint.startedAtMilliseconds());
+        writer.writeString(endpoint.softwareVersion());
     }
 
     static LiveEndpoint decodeEndpoint(MessageReader reader) {
@@ -145,7 +146,8 @@
                 reader.readInt(),
                 reader.readBoolean(),
                 reader.readLong(),
-                reader.readLong());
+                reader.readLong(),
+                reader.readString());
     }
 
     private static void encodeDomain(FailureDomain domain, MessageWriter writer) {
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -2,12 +2,10 @@
 
 import com.google.common.collect.ImmutableCollection;
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.ToLongFunction;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.cowslippick.core.routing.LiveEndpoint;
@@ -20,15 +18,6 @@
  */
 public final class SlotQueue {
 
-    /** The cost, as time to first token, of an endpoint whose failure share is 1; proportionally less for others. */
-    private static final long FAILURE_PENALTY_NANOS = Duration.ofSeconds(1).toNanos();
-
-    /** The cost of an endpoint on which the answer is not predicted to end in time. */
-    private static final long TOO_SLOW_PENALTY_NANOS = Duration.ofSeconds(10).toNanos();
-
-    /** The cost of pausing the streams of an endpoint for too long. */
-    private static final long PAUSE_PENALTY_NANOS = Duration.ofMillis(500).toNanos();
-
     private static final Duration MINIMUM_RETRY_AFTER = Duration.ofMillis(800);
     private static final Duration MAXIMUM_RETRY_AFTER = Duration.ofSeconds(4);
     private static final Duration NO_ENDPOINT_RETRY_AFTER = Duration.ofMillis(500);
@@ -40,13 +29,12 @@
     /** Bounds the work on requests whose time has passed, which is not urgent. */
     private static final long EXPIRY_PERIOD_NANOS = Duration.ofMillis(100).toNanos();
 
-    private final Map<String, EndpointLoad> endpoints = new HashMap<>();
+    private final EndpointPool endpoints = new EndpointPool();
     private final WaitingRequests waiting = new WaitingRequests();
     private final Map<SlotKey, Running> running = new HashMap<>();
     private final RefusedRequests refused = new RefusedRequests();
     private final EndpointNotices notices = new EndpointNotices();
     private final DispatchRate dispatchRate = new DispatchRate();
-    private boolean isOwner = true;
     private Optional<Long> expiryCheckedAtNanos = Optional.empty();
 
     /**
@@ -54,12 +42,12 @@
      * it does not know how many requests they get.
      */
     public void setOwner(boolean owner) {
-        isOwner = owner;
+        endpoints.setOwner(owner);
     }
 
     /** Records what an endpoint said about its rate limit. */
     public ImmutableList<SlotDecision> recordRateLimit(String endpoint, EndpointRateLimit limit, long nowNanos) {
-        Optional.ofNullable(endpoints.get(endpoint)).ifPresent(load -> load.recordRateLimit(limit, nowNanos));
+        endpoints.get(endpoint).ifPresent(load -> load.recordRateLimit(limit, nowNanos));
         return step(nowNanos);
     }
 
@@ -85,7 +73,8 @@
     }
 
     private void applyNotices(LiveEndpoint endpoint) {
-        Optional.ofNullable(endpoints.get(endpoint.id()))
+        endpoints
+                .get(endpoint.id())
                 .filter(load -> load.endpoint().isSameRun(endpoint))
                 .ifPresent(load -> load.setNotices(notices.get(endpoint)));
     }
@@ -94,12 +83,12 @@
     public ImmutableList<SlotDecision> offer(SlotRequest offered, long nowNanos) {
         forgetExpired(nowNanos);
         SlotRequest request = refused.matchRetry(offered, nowNanos);
-        if (endpoints.values().stream().allMatch(EndpointLoad::isLeaving)) {
+        if (endpoints.isWithoutTakers()) {
             refused.add(request, nowNanos);
             return refusal(request, SlotDecision.Reason.NO_ENDPOINT, NO_ENDPOINT_RETRY_AFTER.toNanos());
         }
         long wait = expectedWaitNanos(request, nowNanos);
-        long earliest = wait + shortest(load -> load.predictedNanos(request), nowNanos);
+        long earliest = wait + endpoints.shortest(load -> load.predictedNanos(request), nowNanos);
         boolean onTime = nowNanos + earliest - request.onTimeUntilNanos() <= 0;
         boolean servedBeforeDeadline = request.isCallerRetry() && nowNanos + wait - request.queueDeadlineNanos() < 0;
         if (waiting.size() >= MAXIMUM_WAITING || (wait > 0 && !onTime && !servedBeforeDeadline)) {
@@ -107,7 +96,7 @@
             return refusal(
                     request,
                     SlotDecision.Reason.QUEUE_TOO_LONG,
-                    Math.max(boundRetryAfter(2 * wait), pauseNanos(request, nowNanos)));
+                    Math.max(boundRetryAfter(2 * wait), endpoints.pauseNanos(request, nowNanos)));
         }
         waiting.add(request);
         return step(nowNanos);
@@ -142,7 +131,8 @@
 
     /** Adds a running request that another owner of this queue granted a slot; repeated calls have no effect. */
     public void adopt(SlotRequest request, String endpoint, long nowNanos) {
-        Optional.ofNullable(endpoints.get(endpoint))
+        endpoints
+                .get(endpoint)
                 .filter(_load -> !running.containsKey(request.key()))
                 .ifPresent(load -> {
                     load.adopt(request, nowNanos);
@@ -166,11 +156,7 @@
 
     /** Replaces the endpoints; requests that run on removed endpoints continue until their end is recorded. */
     public ImmutableList<SlotDecision> replaceEndpoints(ImmutableCollection<LiveEndpoint> current, long nowNanos) {
-        ImmutableSet<String> ids = current.stream().map(LiveEndpoint::id).collect(ImmutableSet.toImmutableSet());
-        endpoints.keySet().retainAll(ids);
-        current.forEach(endpoint -> endpoints
-                .computeIfAbsent(endpoint.id(), _id -> new EndpointLoad(endpoint, nowNanos))
-                .setEndpoint(endpoint));
+        endpoints.replace(current, nowNanos);
         current.forEach(this::applyNotices);
         return step(nowNanos);
     }
@@ -195,11 +181,7 @@
 
     public PoolLoad load(long nowNanos) {
         forgetExpired(nowNanos);
-        int free = endpoints.values().stream()
-                .filter(load -> isOpen(load, nowNanos))
-                .mapToInt(load -> load.isRateLimited() ? 1 : load.freeSlots())
-                .sum();
-        return new PoolLoad(free, waiting.size());
+        return new PoolLoad(endpoints.freeSlots(nowNanos), waiting.size());
     }
 
     public int waitingCount() {
@@ -235,7 +217,7 @@
 
     /** Returns the next request that can be granted a slot now. */
     private Optional<SlotRequest> next(long nowNanos) {
-        if (waiting.isEmpty() || !hasOpenEndpoint(nowNanos)) {
+        if (waiting.isEmpty() || !endpoints.hasOpen(nowNanos)) {
             return Optional.empty();
         }
         waiting.onTime()
@@ -249,74 +231,17 @@
 
     /** Whether a request can no longer be on time; a caller's retry is never marked late and so keeps its priority. */
     private boolean isLate(SlotRequest request, long nowNanos) {
-        return !request.isCallerRetry() && nowNanos + fastestNanos(request, nowNanos) - request.onTimeUntilNanos() > 0;
-    }
-
-    private boolean hasOpenEndpoint(long nowNanos) {
-        for (EndpointLoad load : endpoints.values()) {
-            if (isOpen(load, nowNanos)) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    private boolean isOpen(EndpointLoad load, long nowNanos) {
-        return isAvailable(load, nowNanos) && load.freeSlots() > 0 && load.nanosUntilAllowed(nowNanos) == 0;
-    }
-
-    /** Whether this queue may use the endpoint, now or when a slot and its rate limit allow. */
-    private boolean isAvailable(EndpointLoad load, long nowNanos) {
-        return load.isUsable(nowNanos) && (isOwner || !load.isRateLimited());
+        return !request.isCallerRetry()
+                && nowNanos + endpoints.fastestNanos(request, nowNanos) - request.onTimeUntilNanos() > 0;
     }
 
     private boolean canBePlaced(SlotRequest request, long nowNanos) {
         return (request.excludedEndpoints().isEmpty() && !notices.hasPauses())
-                || cheapest(request, nowNanos).isPresent();
-    }
-
-    /** The shortest time to first token on any endpoint, if the request need not wait for a slot. */
-    private long fastestNanos(SlotRequest request, long nowNanos) {
-        return shortest(load -> load.nanosUntilAllowed(nowNanos) + load.predictedNanos(request), nowNanos);
-    }
-
-    private long shortest(ToLongFunction<EndpointLoad> time, long nowNanos) {
-        long shortest = Long.MAX_VALUE;
-        for (EndpointLoad load : endpoints.values()) {
-            if (isAvailable(load, nowNanos)) {
-                shortest = Math.min(shortest, time.applyAsLong(load));
-            }
-        }
-        return shortest == Long.MAX_VALUE ? 0 : shortest;
-    }
-
-    private Optional<EndpointLoad> cheapest(SlotRequest request, long nowNanos) {
-        EndpointLoad cheapest = null;
-        long lowestCost = Long.MAX_VALUE;
-        for (EndpointLoad load : endpoints.values()) {
-            if (isOpen(load, nowNanos)
-                    && load.accepts(request.key().instance(), nowNanos)
-                    && !request.excludedEndpoints().contains(load.endpoint().id())) {
-                long cost = cost(load, request, nowNanos);
-                if (cheapest == null || cost < lowestCost) {
-                    cheapest = load;
-                    lowestCost = cost;
-                }
-            }
-        }
-        return Optional.ofNullable(cheapest);
-    }
-
-    private static long cost(EndpointLoad load, SlotRequest request, long nowNanos) {
-        long end = nowNanos + load.predictedNanos(request) + load.answerNanos(request);
-        return load.predictedNanos(request)
-                + (long) (load.failureShare(nowNanos) * FAILURE_PENALTY_NANOS)
-                + (end - request.expiresAtNanos() > 0 ? TOO_SLOW_PENALTY_NANOS : 0)
-                + (load.wouldPauseStreams(request) ? PAUSE_PENALTY_NANOS : 0);
+                || endpoints.cheapest(request, nowNanos).isPresent();
     }
 
     private SlotDecision grant(SlotRequest request, long nowNanos) {
-        EndpointLoad load = cheapest(request, nowNanos).orElseThrow();
+        EndpointLoad load = endpoints.cheapest(request, nowNanos).orElseThrow();
         long predicted = load.predictedNanos(request);
         waiting.remove(request.key());
         load.start(request, nowNanos);
@@ -330,7 +255,7 @@
      * the first request of the same urgency has waited already and as the rate limits of the endpoints require.
      */
     private long expectedWaitNanos(SlotRequest request, long nowNanos) {
-        if (isAnyOpenTo(request, nowNanos)) {
+        if (endpoints.isAnyOpenTo(request, nowNanos)) {
             return 0;
         }
         long waitedSoFar = waiting.firstOfSameUrgency(request)
@@ -340,41 +265,12 @@
         return LongStream.of(
                         waitedSoFar,
                         dispatchRate.expectedNanos(ahead + 1L),
-                        rateLimitedWaitNanos(ahead, nowNanos),
-                        pauseNanos(request, nowNanos))
+                        endpoints.rateLimitedWaitNanos(ahead, nowNanos),
+                        endpoints.pauseNanos(request, nowNanos))
                 .max()
                 .getAsLong();
     }
 
-    private boolean isAnyOpenTo(SlotRequest request, long nowNanos) {
-        return endpoints.values().stream()
-                .anyMatch(load ->
-                        isOpen(load, nowNanos) && load.accepts(request.key().instance(), nowNanos));
-    }
-
-    /** The time until the first endpoint wants requests from the instance again; 0 if one does already. */
-    private long pauseNanos(SlotRequest request, long nowNanos) {
-        return shortest(load -> load.nanosUntilAccepted(request.key().instance(), nowNanos), nowNanos);
-    }
-
-    /** The wait for the rate limits if all available endpoints have one; the recent dispatch rate may be higher. */
-    private long rateLimitedWaitNanos(int ahead, long nowNanos) {
-        ImmutableList<EndpointLoad> available = endpoints.values().stream()
-                .filter(load -> isAvailable(load, nowNanos))
-                .collect(ImmutableList.toImmutableList());
-        if (available.isEmpty() || !available.stream().allMatch(EndpointLoad::isRateLimited)) {
-            return 0;
-        }
-        double requestsPerSecond =
-                available.stream().mapToDouble(EndpointLoad::requestsPerSecond).sum();
-        long soonest = available.stream()
-                .mapToLong(load -> load.nanosUntilAllowed(nowNanos))
-                .min()
-                .getAsLong();
-        return soonest
-                + (long) (ahead / requestsPerSecond * Duration.ofSeconds(1).toNanos());
-    }
-
     private static ImmutableList<SlotDecision> refusal(
             SlotRequest request, SlotDecision.Reason reason, long retryAfterNanos) {
         return ImmutableList.of(new SlotDecision.Refused(request, reason, retryAfterNanos));
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotRequest.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotRequest.java
@@ -1,6 +1,8 @@
 package org.cowslippick.scheduler.slot;
 
 import com.google.common.collect.ImmutableSet;
+import java.util.Optional;
+import org.cowslippick.core.world.OrganisationName;
 
 /**
  * A request for a slot.
@@ -19,6 +21,8 @@
  *     caller disconnects
  * @param expiresAtNanos when the caller, or the operator's timeout, ends the whole request
  * @param excludedEndpoints the endpoints that the request was already sent to
+ * @param organisation the caller's organisation; empty for anonymous callers
+ * @param connectedEndpoints endpoints to which the asking instance has an idle connection that the request may use
  */
 public record SlotRequest(
         SlotKey key,
@@ -35,7 +39,46 @@
         long queueDeadlineNanos,
         long retryQueueDeadlineNanos,
         long expiresAtNanos,
-        ImmutableSet<String> excludedEndpoints) {
+        ImmutableSet<String> excludedEndpoints,
+        Optional<OrganisationName> organisation,
+        ImmutableSet<String> connectedEndpoints) {
+
+    /** Creates a request of an anonymous caller by an instance without connections. */
+    public SlotRequest(
+            SlotKey key,
+            int rank,
+            int routeRank,
+            long fingerprint,
+            long promptTokens,
+            long answerTokens,
+            boolean isCallerRetry,
+            long maximumPauseNanos,
+            int tokensPerEvent,
+            long arrivedAtNanos,
+            long onTimeUntilNanos,
+            long queueDeadlineNanos,
+            long retryQueueDeadlineNanos,
+            long expiresAtNanos,
+            ImmutableSet<String> excludedEndpoints) {
+        this(
+                key,
+                rank,
+                routeRank,
+                fingerprint,
+                promptTokens,
+                answerTokens,
+                isCallerRetry,
+                maximumPauseNanos,
+                tokensPerEvent,
+                arrivedAtNanos,
+                onTimeUntilNanos,
+                queueDeadlineNanos,
+                retryQueueDeadlineNanos,
+                expiresAtNanos,
+                excludedEndpoints,
+                Optional.empty(),
+                ImmutableSet.of());
+    }
 
     /** Returns this request as a caller's retry, with the on-time limit of the first attempt. */
     SlotRequest asCallerRetry(long originalOnTimeUntilNanos) {
@@ -54,6 +97,8 @@
                 retryQueueDeadlineNanos,
                 retryQueueDeadlineNanos,
                 expiresAtNanos,
-                excludedEndpoints);
+                excludedEndpoints,
+                organisation,
+                connectedEndpoints);
     }
 }
