--- /dev/null
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/RequestProgress.java
@@ -0,0 +1,65 @@
+package org.cowslippick.relay.forwarding;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/** What has happened to a request so far, over all of its attempts. */
+final class RequestProgress {
+
+    private final Set<String> triedEndpoints = new HashSet<>();
+    private final EventScanner events = new EventScanner();
+    private final RequestTimes times;
+    private String cause = "";
+    private boolean mayHaveRun;
+    private boolean responseStarted;
+
+    RequestProgress(long arrivedAtNanos) {
+        this.times = new RequestTimes(arrivedAtNanos);
+    }
+
+    /** The ids of the endpoints that count as tried. */
+    Set<String> triedEndpoints() {
+        return triedEndpoints;
+    }
+
+    EventScanner events() {
+        return events;
+    }
+
+    RequestTimes times() {
+        return times;
+    }
+
+    /** The latest reason for which an attempt or the request failed; empty if there is none. */
+    String cause() {
+        return cause;
+    }
+
+    void setCause(String newCause) {
+        cause = newCause;
+    }
+
+    /** Whether an endpoint may have executed the request. */
+    boolean mayHaveRun() {
+        return mayHaveRun;
+    }
+
+    void setMayHaveRun(boolean possible) {
+        mayHaveRun = possible;
+    }
+
+    /** Whether a part of a response has been passed on to the caller. */
+    boolean isResponseStarted() {
+        return responseStarted;
+    }
+
+    void setResponseStarted() {
+        responseStarted = true;
+    }
+
+    /** The last event of the stream that the caller has received; empty if the stream has not started. */
+    Optional<String> lastForwardedEvent() {
+        return events.lastId().filter(_id -> responseStarted);
+    }
+}
