--- a/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
@@ -42,6 +43,7 @@
     private final HostAndPort address;
     private final String attemptIdHeader;
     private final ResponseDecoder decoder;
+    private final HeadHolder headHolder;
     private final Consumer<EndpointConnection> onReusable;
     private Optional<ResponseListener> listener = Optional.empty();
     private Optional<String> attemptId = Optional.empty();
@@ -55,16 +57,21 @@
     private final Set<String> sentAttemptIds = new HashSet<>();
     private boolean endsWithConnection;
     private String closeCause = "connection closed";
-    private long idleSinceNanos;
+    private Optional<Duration> announcedIdle = Optional.empty();
+    private Optional<HoldBack> holdBack = Optional.empty();
+    private boolean paused;
+    private boolean bytesReceived;
 
     EndpointConnection(
             HostAndPort address,
             String attemptIdHeader,
             ResponseDecoder decoder,
+            HeadHolder headHolder,
             Consumer<EndpointConnection> onReusable) {
         this.address = address;
         this.attemptIdHeader = attemptIdHeader;
         this.decoder = decoder;
+        this.headHolder = headHolder;
         this.onReusable = onReusable;
     }
 
@@ -77,8 +84,14 @@
         return context.channel().isActive();
     }
 
-    long idleSinceNanos() {
-        return idleSinceNanos;
+    /** How long the connection may idle, as the endpoint has said in its last response; empty if it has not. */
+    Optional<Duration> announcedIdle() {
+        return announcedIdle;
+    }
+
+    /** Whether any byte has arrived since the last request was sent. */
+    boolean hasReceivedBytes() {
+        return bytesReceived;
     }
 
     /**
@@ -89,26 +102,55 @@
         return !sentAttemptIds.contains(nextAttemptId) && sentAttemptIds.size() < MAXIMUM_REQUESTS;
     }
 
-    void markIdle(long nowNanos) {
-        idleSinceNanos = nowNanos;
+    void send(Dispatch dispatch, ResponseListener responseListener) {
+        BodyWriter writer = expectResponse(dispatch, responseListener);
+        context.write(dispatch.head());
+        writer.write();
+        responseListener.requestSent();
     }
 
-    void send(Dispatch dispatch, ResponseListener responseListener) {
+    /**
+     * Begins a request of which the end of the head, and the body, follow in {@link #sendHeld}. Until then any byte that
+     * arrives ends the connection.
+     */
+    void hold(Dispatch dispatch, HoldBack newHoldBack) {
+        holdBack = Optional.of(newHoldBack);
+        headHolder.holdNext(written -> {
+            if (written.isSuccess()) {
+                newHoldBack.firstBytesWritten();
+            } else {
+                closeAfterFailedWrite(written.cause());
+            }
+        });
+        context.writeAndFlush(dispatch.head());
+    }
+
+    /** Sends the rest of the request that {@link #hold} has begun. */
+    void sendHeld(Dispatch dispatch, ResponseListener responseListener) {
+        holdBack = Optional.empty();
+        BodyWriter writer = expectResponse(dispatch, responseListener);
+        setReading(!paused);
+        headHolder.complete();
+        writer.write();
+        responseListener.requestSent();
+    }
+
+    private BodyWriter expectResponse(Dispatch dispatch, ResponseListener responseListener) {
         listener = Optional.of(responseListener);
         attemptId = Optional.of(dispatch.attemptId());
         sentAttemptIds.add(dispatch.attemptId());
         skippedResponses = 0;
         skippedBytes = 0;
         reusable = false;
+        bytesReceived = false;
         decoder.expectResponseTo(dispatch.head().method().equals(HttpMethod.HEAD));
         BodyWriter writer = new BodyWriter(context.channel(), dispatch.body(), this::closeAfterFailedWrite);
         bodyWriter = Optional.of(writer);
-        context.write(dispatch.head());
-        writer.write();
-        responseListener.requestSent();
+        return writer;
     }
 
     void close() {
+        holdBack.ifPresent(HoldBack::cancel);
         listener = Optional.empty();
         context.close();
     }
@@ -123,8 +165,17 @@
         context.close();
     }
 
+    /** Notes that bytes of a response have arrived, which the decoder reports only when a head is complete. */
+    void responseBytesArrived() {
+        bytesReceived = true;
+    }
+
+    /** Pauses or resumes reading; not during a hold-back, as only reading shows that a connection has ended. */
     void setReading(boolean enabled) {
-        context.channel().config().setAutoRead(enabled);
+        paused = !enabled;
+        if (holdBack.isEmpty()) {
+            context.channel().config().setAutoRead(enabled);
+        }
     }
 
     @Override
@@ -156,6 +207,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext _context) {
+        holdBack.ifPresent(HoldBack::connectionEnded);
         endRequest(present -> present.connectionLost(closeCause));
     }
 
@@ -176,7 +228,7 @@
     }
 
     private void read(HttpObject message) {
-        Optional<String> defect = findDefect(message);
+        Optional<String> defect = ResponseDefects.find(message, attemptIdHeader, reused);
         if (defect.isPresent()) {
             logDefect(defect.get());
             failAndClose("the endpoint sent an invalid response: " + defect.get());
@@ -211,25 +263,6 @@
         }
     }
 
-    private Optional<String> findDefect(HttpObject message) {
-        if (message.decoderResult().isFailure()) {
-            return Optional.of(String.valueOf(message.decoderResult().cause().getMessage()));
-        }
-        return message instanceof HttpResponse head ? findAmbiguity(head) : Optional.empty();
-    }
-
-    /** A provisional response needs no id, as it is skipped; nor does the first failure, before which none can be late. */
-    private Optional<String> findAmbiguity(HttpResponse head) {
-        int ids = head.headers().getAll(attemptIdHeader).size();
-        boolean needsId = reused || head.status().codeClass() == HttpStatusClass.SUCCESS;
-        if (ids > 1) {
-            return Optional.of("two attempt ids");
-        }
-        return ids == 0 && needsId && head.status().codeClass() != HttpStatusClass.INFORMATIONAL
-                ? Optional.of("no attempt id")
-                : Optional.empty();
-    }
-
     private void readHead(HttpResponse head) {
         String echoed = head.headers().get(attemptIdHeader);
         skippingResponse = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
@@ -238,6 +271,7 @@
             logSkipped(head, echoed);
             return;
         }
+        announcedIdle = KeepAliveTimeout.announcedIdle(head);
         endsWithConnection = decoder.endsWithConnection(head);
         reusable = HttpUtil.isKeepAlive(head)
                 && (HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head));
--- a/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnections.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnections.java
@@ -1,5 +1,6 @@
 package org.cowslippick.relay.endpoint;
 
+import com.google.common.collect.ImmutableSet;
 import com.google.common.net.HostAndPort;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -12,21 +13,21 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.function.ToIntFunction;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.time.TimerService;
+import org.cowslippick.core.world.Region;
+import org.cowslippick.core.world.ServiceName;
 import org.cowslippick.relay.message.SocketOptions;
+import org.cowslippick.relay.metrics.RelayEvent;
 import org.cowslippick.relay.time.LoopMonitor;
 
 /**
- * A connection pool for endpoints. A request that must not run twice always gets a new connection: if the endpoint
- * closes a pooled connection at the moment of sending, the relay cannot tell whether the request ran.
+ * The connections to endpoints. Idle ones are kept for as long as the endpoint allows. On a kept connection a request can be
+ * lost without proof that it did not run, so a request that must not run twice uses one only with its end held back.
  */
 @SuppressWarnings("FutureReturnValueIgnored")
 public final class EndpointConnections {
@@ -34,25 +35,44 @@
     /** A round trip between regions takes 60 ms; a loaded endpoint accepts within one more. */
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
 
-    /** Below the shortest keep-alive timeout that an endpoint can announce, which is one second. */
-    private static final long MAXIMUM_IDLE_NANOS = Duration.ofMillis(800).toNanos();
-
     private static final Duration EVICTION_PERIOD = Duration.ofMillis(500);
-    private static final int MAXIMUM_IDLE_PER_ENDPOINT = 8;
+
+    /** The ids of endpoints that a slot request names. */
+    private static final int MAXIMUM_CONNECTED_ENDPOINTS = 8;
 
     private final EventLoopGroup loops;
     private final TimerService timer;
     private final LoopMonitor monitor;
     private final String attemptIdHeader;
-    private final Map<HostAndPort, Deque<EndpointConnection>> idle = new HashMap<>();
+    private final IdleConnections idle;
+    private final HoldBackPolicy holdBacks;
+    private final Consumer<RelayEvent> events;
+    private final ConnectionContext context;
 
-    /** Creates an empty pool. All methods must be called on the only event loop of the group. */
-    public EndpointConnections(EventLoopGroup loops, TimerService timer, LoopMonitor monitor, String attemptIdHeader) {
+    /**
+     * Creates an empty pool. All methods must be called on the only event loop of the group.
+     *
+     * @param region the region of this instance
+     * @param maximumLongLived the connections to one endpoint of a service that may idle for longer than without a
+     *     {@code Keep-Alive} header
+     */
+    public EndpointConnections(
+            EventLoopGroup loops,
+            TimerService timer,
+            LoopMonitor monitor,
+            String attemptIdHeader,
+            Region region,
+            ToIntFunction<ServiceName> maximumLongLived,
+            Consumer<RelayEvent> events) {
         this.loops = loops;
         this.timer = timer;
         this.monitor = monitor;
         this.attemptIdHeader = attemptIdHeader;
-        timer.scheduleWithFixedDelay(EVICTION_PERIOD, this::evictExpired);
+        this.idle = new IdleConnections(maximumLongLived);
+        this.holdBacks = new HoldBackPolicy(region);
+        this.events = events;
+        this.context = new ConnectionContext(timer, monitor, idle, holdBacks, events, this::open);
+        timer.scheduleWithFixedDelay(EVICTION_PERIOD, () -> idle.evictExpired(timer.nanoTime()));
     }
 
     /**
@@ -60,9 +80,9 @@
      * first.
      *
      * @param attemptId echoed by the endpoint; a response with another id belongs to another request
-     * @param mayRepeat whether the request may use a pooled connection, on which it can be lost without proof that it did
-     *     not run
-     * @param dispatch called at the moment of sending; empty if the request must not be sent any more
+     * @param mayRepeat whether the request may be lost on a kept connection without proof that it did not run
+     * @param dispatch called at the moment of sending, and before if the end of the request is held back; empty if the
+     *     request must not be sent any more
      * @return a handle that cancels the request
      */
     public Handle send(
@@ -72,21 +92,33 @@
             Supplier<Optional<Dispatch>> dispatch,
             ResponseListener listener) {
         Handle handle = new Handle();
+        RequestSender sender = new RequestSender(context, endpoint, dispatch, listener, handle);
         monitor.afterReading(() -> {
             if (handle.cancelled) {
                 return;
             }
-            Optional<EndpointConnection> pooled =
-                    mayRepeat ? acquireIdle(endpoint.address(), attemptId) : Optional.empty();
-            if (pooled.isPresent()) {
-                handle.start(pooled.get(), dispatch, listener);
+            if (mayRepeat) {
+                sender.sendRepeatable(attemptId);
             } else {
-                open(endpoint.address(), dispatch, listener, handle);
+                sender.sendOnce(attemptId);
             }
         });
         return handle;
     }
 
+    /**
+     * The endpoints of a service to which a request may use an idle connection, at most 8, the most recently used. Those that
+     * do not announce how long they keep connections are left out, as placement should not depend on them.
+     */
+    public ImmutableSet<String> connectedEndpoints(ServiceName service, boolean mayRepeat) {
+        long now = timer.nanoTime();
+        return idle.endpoints(
+                service,
+                kept -> mayRepeat ? kept.isAnnounced() : holdBacks.allows(kept, now),
+                MAXIMUM_CONNECTED_ENDPOINTS,
+                now);
+    }
+
     /** Opens a connection to an endpoint, sends nothing and closes it. */
     public void probe(HostAndPort address, Consumer<ProbeResult> listener) {
         ChannelFuture connecting =
@@ -106,31 +138,24 @@
                 .handler(handler);
     }
 
-    private Optional<EndpointConnection> acquireIdle(HostAndPort address, String attemptId) {
-        Deque<EndpointConnection> pool = idle.getOrDefault(address, new ArrayDeque<>());
-        long now = timer.nanoTime();
-        while (!pool.isEmpty()) {
-            EndpointConnection connection = pool.pollLast();
-            boolean isUsable = connection.isOpen() && connection.canSend(attemptId);
-            if (isUsable && now - connection.idleSinceNanos() < MAXIMUM_IDLE_NANOS) {
-                return Optional.of(connection);
-            }
-            connection.close();
-        }
-        return Optional.empty();
-    }
-
     private void open(
-            HostAndPort address, Supplier<Optional<Dispatch>> dispatch, ResponseListener listener, Handle handle) {
+            LiveEndpoint endpoint, Handle handle, Consumer<EndpointConnection> onOpen, Consumer<String> onFailure) {
+        HostAndPort address = endpoint.address();
         ResponseDecoder decoder = new ResponseDecoder();
-        EndpointConnection connection =
-                new EndpointConnection(address, attemptIdHeader, decoder, finished -> release(address, finished));
+        HeadHolder headHolder = new HeadHolder();
+        EndpointConnection connection = new EndpointConnection(
+                address,
+                attemptIdHeader,
+                decoder,
+                headHolder,
+                finished -> idle.add(endpoint, finished, timer.nanoTime()));
         ChannelFuture connecting = bootstrap(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         SocketOptions.apply(channel);
                         channel.pipeline()
                                 .addLast(new UnexpectedBytesHandler(connection))
+                                .addLast(headHolder)
                                 .addLast(decoder)
                                 .addLast(new HttpRequestEncoder())
                                 .addLast(connection);
@@ -141,47 +166,23 @@
             if (handle.cancelled) {
                 connecting.channel().close();
             } else if (!connecting.isSuccess()) {
-                listener.connectFailed(String.valueOf(connecting.cause().getMessage()));
+                onFailure.accept(String.valueOf(connecting.cause().getMessage()));
             } else if (connection.isOpen()) {
-                handle.start(connection, dispatch, listener);
+                events.accept(RelayEvent.CONNECTION_OPENED);
+                onOpen.accept(connection);
             } else {
-                listener.connectFailed("the endpoint closed the new connection");
+                onFailure.accept("the endpoint closed the new connection");
             }
         }));
     }
 
-    private void release(HostAndPort address, EndpointConnection connection) {
-        Deque<EndpointConnection> pool = idle.computeIfAbsent(address, _address -> new ArrayDeque<>());
-        if (pool.size() >= MAXIMUM_IDLE_PER_ENDPOINT) {
-            connection.close();
-            return;
-        }
-        connection.markIdle(timer.nanoTime());
-        pool.addLast(connection);
-    }
-
-    private void evictExpired() {
-        long now = timer.nanoTime();
-        idle.values()
-                .forEach(pool -> pool.removeIf(connection -> {
-                    boolean expired = !connection.isOpen() || now - connection.idleSinceNanos() >= MAXIMUM_IDLE_NANOS;
-                    if (expired) {
-                        connection.close();
-                    }
-                    return expired;
-                }));
-        idle.values().removeIf(Deque::isEmpty);
-    }
-
     /** A dispatch that can be cancelled. */
     public static final class Handle {
         private Optional<EndpointConnection> connection = Optional.empty();
         private boolean cancelled;
 
-        private void start(
-                EndpointConnection opened, Supplier<Optional<Dispatch>> dispatch, ResponseListener listener) {
-            connection = Optional.of(opened);
-            dispatch.get().ifPresentOrElse(present -> opened.send(present, listener), opened::close);
+        void use(EndpointConnection current) {
+            connection = Optional.of(current);
         }
 
         /** Closes the connection, which makes the endpoint cancel the request; the listener is not called again. */
--- a/relay/src/main/java/org/cowslippick/relay/endpoint/UnexpectedBytesHandler.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/UnexpectedBytesHandler.java
@@ -23,6 +23,7 @@
             bytes.release();
             return;
         }
+        connection.responseBytesArrived();
         context.fireChannelRead(message);
     }
 }
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/RequestTerms.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/RequestTerms.java
@@ -74,7 +74,7 @@
                 expiresAtNanos,
                 ImmutableSet.copyOf(progress.triedEndpoints()),
                 admission.organisation().map(OrganisationAccess::name),
-                ImmutableSet.of());
+                context.connections().connectedEndpoints(admission.service(), route.allowsRetryAfterStart()));
     }
 
     Dispatch dispatch(LiveEndpoint endpoint, RequestProgress progress, long nowNanos) {
--- a/relay/src/main/java/org/cowslippick/relay/metrics/RelayEvent.java
+++ b/relay/src/main/java/org/cowslippick/relay/metrics/RelayEvent.java
@@ -6,6 +6,14 @@
     RETRY_DENIED("retries_denied", "Retries that the retry budget did not allow."),
     CONNECT_FAILED("endpoint_connects_failed", "Connections to endpoints that could not be opened."),
     CONNECTION_LOST("endpoint_connections_lost", "Connections to endpoints that broke during a response."),
+    CONNECTION_OPENED("endpoint_connections_opened", "Connections to endpoints that were opened."),
+    CONNECTION_REUSED("endpoint_connections_reused", "Requests that were sent on a kept connection."),
+    KEPT_CONNECTION_DEAD(
+            "endpoint_kept_connections_dead",
+            "Kept connections that ended before the held-back end of a request was sent."),
+    KEPT_CONNECTION_LOST(
+            "endpoint_kept_connections_lost",
+            "Kept connections that ended after a request, without any byte of a response."),
     ENDPOINT_REFUSED("endpoint_refusals", "Requests that an endpoint refused without running them."),
     ENDPOINT_LEAVING("endpoint_leaving_notices", "Responses whose endpoint said that it leaves."),
     ENDPOINT_PAUSE("endpoint_pause_notices", "Refusals whose endpoint asked for a pause."),
--- a/relay/src/main/java/org/cowslippick/relay/time/LoopMonitor.java
+++ b/relay/src/main/java/org/cowslippick/relay/time/LoopMonitor.java
@@ -66,6 +66,11 @@
         }
     }
 
+    /** As {@link #afterReading}, but reads at least once also if the loop keeps up. */
+    public void afterFurtherReading(Runnable task) {
+        afterIterations(lag().isZero() ? 1 : ITERATIONS_TO_CATCH_UP, task);
+    }
+
     private boolean isOverdue(long nowNanos) {
         return nowNanos - dueNanos > TOLERANCE_NANOS;
     }
--- a/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
@@ -16,6 +16,7 @@
 import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
@@ -82,6 +83,7 @@
     private static final Region REGION = new Region("asturias");
     private static final FailureDomain DOMAIN = new FailureDomain("oviedo", REGION);
     private static final OrganisationName ORGANISATION = new OrganisationName("portalia");
+    private static final int KEPT_PER_ENDPOINT = 4;
     private static final int ITERATIONS_TO_CATCH_UP = 3;
     private static final int READ_TIMEOUT_MILLISECONDS = 4_000;
 
@@ -94,12 +96,17 @@
     private final RelayMetrics metrics = new RelayMetrics();
 
     RelayHarness(ScriptedEngine... engines) throws IOException, InterruptedException {
+        this(Arrays.stream(engines).map(ScriptedEngine::address).toArray(HostAndPort[]::new));
+    }
+
+    RelayHarness(HostAndPort... engines) throws IOException, InterruptedException {
         SingleThreadEventLoop loop = (SingleThreadEventLoop) loops.next();
         TimerService timer = new EventLoopTimerService(loop);
         this.clock = new LoopClock(timer);
         LoopMonitor monitor = new LoopMonitor(loop, clock);
         LocalSlotQueues localQueues = new LocalSlotQueues(timer);
-        EndpointConnections connections = new EndpointConnections(loops, timer, monitor, NAMES.attemptId());
+        EndpointConnections connections = new EndpointConnections(
+                loops, timer, monitor, NAMES.attemptId(), REGION, _service -> KEPT_PER_ENDPOINT, metrics::count);
         this.forwarder = new RequestForwarder(new ForwardingContext(
                 timer,
                 monitor,
@@ -118,7 +125,7 @@
         server.bindFuture().sync();
         ImmutableList.Builder<LiveEndpoint> endpoints = ImmutableList.builder();
         for (int index = 0; index < engines.length; index++) {
-            endpoints.add(new LiveEndpoint("engine-" + index, SERVICE, engines[index].address(), DOMAIN, 4, false, 1));
+            endpoints.add(new LiveEndpoint("engine-" + index, SERVICE, engines[index], DOMAIN, 4, false, 1));
         }
         loops.next()
                 .submit(() -> localQueues.replaceEndpoints(endpoints.build()))
--- a/relay/src/test/java/org/cowslippick/relay/endpoint/EndpointConnectionTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/endpoint/EndpointConnectionTest.java
@@ -25,8 +25,8 @@
 
     private final List<EndpointConnection> kept = new ArrayList<>();
     private final ResponseDecoder decoder = new ResponseDecoder();
-    private final EndpointConnection connection =
-            new EndpointConnection(HostAndPort.fromParts("127.0.0.1", 1), "X-Attempt", decoder, kept::add);
+    private final EndpointConnection connection = new EndpointConnection(
+            HostAndPort.fromParts("127.0.0.1", 1), "X-Attempt", decoder, new HeadHolder(), kept::add);
     private final EmbeddedChannel channel = new EmbeddedChannel(decoder, new HttpRequestEncoder(), connection);
 
     /** The response to the next request was never read, if the caller of this one had read slowly. */
