--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointPool.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointPool.java
@@ -111,7 +111,8 @@
         return load.predictedNanos(request)
                 + (long) (load.failureShare(nowNanos) * FAILURE_PENALTY_NANOS)
                 + (end - request.expiresAtNanos() > 0 ? TOO_SLOW_PENALTY_NANOS : 0)
-                + (load.wouldPauseStreams(request) ? PAUSE_PENALTY_NANOS : 0);
+                + (load.wouldPauseStreams(request) ? PAUSE_PENALTY_NANOS : 0)
+                - ConnectionPreference.advantageNanos(load, request, nowNanos);
     }
 
     boolean isAnyOpenTo(SlotRequest request, long nowNanos) {
