--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -18,10 +18,7 @@
  */
 public final class SlotQueue {
 
-    private static final Duration MINIMUM_RETRY_AFTER = Duration.ofMillis(800);
-    private static final Duration MAXIMUM_RETRY_AFTER = Duration.ofSeconds(4);
-    private static final Duration NO_ENDPOINT_RETRY_AFTER = Duration.ofMillis(500);
-    private static final int MAXIMUM_WAITING = 2_000;
+    static final int MAXIMUM_WAITING = 2_000;
 
     /** Later than this after the time of a request, the report of its end has been lost. */
     static final Duration END_REPORT_ALLOWANCE = Duration.ofSeconds(1);
@@ -32,7 +29,7 @@
     private final EndpointPool endpoints = new EndpointPool();
     private final WaitingRequests waiting = new WaitingRequests();
     private final Map<SlotKey, Running> running = new HashMap<>();
-    private final RefusedRequests refused = new RefusedRequests();
+    private final Refusals refusals = new Refusals();
     private final EndpointNotices notices = new EndpointNotices();
     private final DispatchRate dispatchRate = new DispatchRate();
     private Optional<Long> expiryCheckedAtNanos = Optional.empty();
@@ -82,24 +79,46 @@
     /** Offers a request, which is granted a slot, queued or refused. */
     public ImmutableList<SlotDecision> offer(SlotRequest offered, long nowNanos) {
         forgetExpired(nowNanos);
-        SlotRequest request = refused.matchRetry(offered, nowNanos);
+        SlotRequest request = refusals.matchRetry(offered, nowNanos);
         if (endpoints.isWithoutTakers()) {
-            refused.add(request, nowNanos);
-            return refusal(request, SlotDecision.Reason.NO_ENDPOINT, NO_ENDPOINT_RETRY_AFTER.toNanos());
+            return ImmutableList.of(refusals.noEndpoint(request, nowNanos));
         }
         long wait = expectedWaitNanos(request, nowNanos);
-        long earliest = wait + endpoints.shortest(load -> load.predictedNanos(request), nowNanos);
-        boolean onTime = nowNanos + earliest - request.onTimeUntilNanos() <= 0;
-        boolean servedBeforeDeadline = request.isCallerRetry() && nowNanos + wait - request.queueDeadlineNanos() < 0;
-        if (waiting.size() >= MAXIMUM_WAITING || (wait > 0 && !onTime && !servedBeforeDeadline)) {
-            refused.add(request, nowNanos);
-            return refusal(
-                    request,
-                    SlotDecision.Reason.QUEUE_TOO_LONG,
-                    Math.max(boundRetryAfter(2 * wait), endpoints.pauseNanos(request, nowNanos)));
+        if (wait > 0 && !isWorthQueueing(request, wait, nowNanos)) {
+            return ImmutableList.of(refuseForLength(request, wait, nowNanos));
+        }
+        if (waiting.size() < MAXIMUM_WAITING) {
+            waiting.add(request);
+            return step(nowNanos);
         }
+        return waiting.replaceableBy(request)
+                .map(given -> replace(given, request, nowNanos))
+                .orElseGet(() -> ImmutableList.of(refuseForLength(request, wait, nowNanos)));
+    }
+
+    /** Refuses a waiting request in favour of a new one, as the queue is full. */
+    private ImmutableList<SlotDecision> replace(SlotRequest given, SlotRequest request, long nowNanos) {
+        waiting.remove(given.key());
         waiting.add(request);
-        return step(nowNanos);
+        SlotDecision refusal = refuseForLength(given, expectedWaitNanos(given, nowNanos), nowNanos);
+        return Stream.concat(Stream.of(refusal), step(nowNanos).stream()).collect(ImmutableList.toImmutableList());
+    }
+
+    /**
+     * Whether a request that must wait can be on time. A caller's retry is worth queueing if it is served before its
+     * caller disconnects, or if it would be refused while first attempts of its urgency wait.
+     */
+    private boolean isWorthQueueing(SlotRequest request, long waitNanos, long nowNanos) {
+        long earliest = waitNanos + endpoints.shortest(load -> load.predictedNanos(request), nowNanos);
+        boolean onTime = nowNanos + earliest - request.onTimeUntilNanos() <= 0;
+        boolean retryServed = nowNanos + waitNanos - request.queueDeadlineNanos() < 0
+                || (nowNanos - request.queueDeadlineNanos() < 0 && waiting.hasFirstAttempts(request));
+        return onTime || (request.isCallerRetry() && retryServed);
+    }
+
+    private SlotDecision refuseForLength(SlotRequest request, long waitNanos, long nowNanos) {
+        return refusals.queueTooLong(
+                request, waitNanos, endpoints.pauseNanos(request, nowNanos), dispatchRate.expectedNanos(1), nowNanos);
     }
 
     /** Removes a waiting request without a decision. */
@@ -169,13 +188,9 @@
         forgetExpired(nowNanos);
         ImmutableList<SlotDecision> expired = waiting.all()
                 .filter(request -> nowNanos - request.queueDeadlineNanos() >= 0)
-                .map(request ->
-                        new SlotDecision.Refused(request, SlotDecision.Reason.EXPIRED, MINIMUM_RETRY_AFTER.toNanos()))
+                .map(request -> refusals.expired(request, dispatchRate.expectedNanos(1), nowNanos))
                 .collect(ImmutableList.toImmutableList());
-        expired.forEach(decision -> {
-            waiting.remove(decision.request().key());
-            refused.add(decision.request(), nowNanos);
-        });
+        expired.forEach(decision -> waiting.remove(decision.request().key()));
         return Stream.concat(expired.stream(), step(nowNanos).stream()).collect(ImmutableList.toImmutableList());
     }
 
@@ -220,10 +235,11 @@
         if (waiting.isEmpty() || !endpoints.hasOpen(nowNanos)) {
             return Optional.empty();
         }
-        waiting.onTime()
-                .takeWhile(request -> isLate(request, nowNanos))
-                .toList()
-                .forEach(waiting::markLate);
+        Optional<SlotRequest> first = waiting.firstOnTime();
+        while (first.filter(request -> isLate(request, nowNanos)).isPresent()) {
+            waiting.markLate(first.get());
+            first = waiting.firstOnTime();
+        }
         return Stream.concat(waiting.onTime(), waiting.late())
                 .filter(request -> canBePlaced(request, nowNanos))
                 .findFirst();
@@ -243,7 +259,7 @@
     private SlotDecision grant(SlotRequest request, long nowNanos) {
         EndpointLoad load = endpoints.cheapest(request, nowNanos).orElseThrow();
         long predicted = load.predictedNanos(request);
-        waiting.remove(request.key());
+        waiting.take(request, nowNanos);
         load.start(request, nowNanos);
         running.put(request.key(), new Running(request, load));
         dispatchRate.recordDispatch(nowNanos);
@@ -252,18 +268,15 @@
 
     /**
      * The expected wait: the time to dispatch the requests ahead at the recent dispatch rate, and at least as long as
-     * the first request of the same urgency has waited already and as the rate limits of the endpoints require.
+     * the first request of the same urgency and organisation has waited already and as the rate limits of the endpoints require.
      */
     private long expectedWaitNanos(SlotRequest request, long nowNanos) {
         if (endpoints.isAnyOpenTo(request, nowNanos)) {
             return 0;
         }
-        long waitedSoFar = waiting.firstOfSameUrgency(request)
-                .map(first -> nowNanos - first.arrivedAtNanos())
-                .orElse(0L);
-        int ahead = waiting.countAhead(request);
+        int ahead = request.isCallerRetry() ? waiting.countAheadOfRetry(request) : waiting.countAhead(request);
         return LongStream.of(
-                        waitedSoFar,
+                        waiting.waitedNanos(request, nowNanos),
                         dispatchRate.expectedNanos(ahead + 1L),
                         endpoints.rateLimitedWaitNanos(ahead, nowNanos),
                         endpoints.pauseNanos(request, nowNanos))
@@ -271,14 +284,5 @@
                 .getAsLong();
     }
 
-    private static ImmutableList<SlotDecision> refusal(
-            SlotRequest request, SlotDecision.Reason reason, long retryAfterNanos) {
-        return ImmutableList.of(new SlotDecision.Refused(request, reason, retryAfterNanos));
-    }
-
-    private static long boundRetryAfter(long nanos) {
-        return Math.max(MINIMUM_RETRY_AFTER.toNanos(), Math.min(nanos, MAXIMUM_RETRY_AFTER.toNanos()));
-    }
-
     private record Running(SlotRequest request, EndpointLoad load) {}
 }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotRequest.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotRequest.java
@@ -82,6 +82,15 @@
 
     /** Returns this request as a caller's retry, with the on-time limit of the first attempt. */
     SlotRequest asCallerRetry(long originalOnTimeUntilNanos) {
+        return withRetry(true, originalOnTimeUntilNanos, retryQueueDeadlineNanos);
+    }
+
+    /** Returns this request as one without precedence, with the on-time limit of the first attempt. */
+    SlotRequest asEarlyRetry(long originalOnTimeUntilNanos) {
+        return withRetry(isCallerRetry, originalOnTimeUntilNanos, queueDeadlineNanos);
+    }
+
+    private SlotRequest withRetry(boolean isRetry, long onTimeNanos, long deadlineNanos) {
         return new SlotRequest(
                 key,
                 rank,
@@ -89,12 +98,12 @@
                 fingerprint,
                 promptTokens,
                 answerTokens,
-                true,
+                isRetry,
                 maximumPauseNanos,
                 tokensPerEvent,
                 arrivedAtNanos,
-                originalOnTimeUntilNanos,
-                retryQueueDeadlineNanos,
+                onTimeNanos,
+                deadlineNanos,
                 retryQueueDeadlineNanos,
                 expiresAtNanos,
                 excludedEndpoints,
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/WaitingRequests.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/WaitingRequests.java
@@ -4,15 +4,17 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.NavigableMap;
-import java.util.NavigableSet;
 import java.util.Optional;
 import java.util.TreeMap;
-import java.util.TreeSet;
+import java.util.function.Predicate;
+import java.util.function.ToIntBiFunction;
 import java.util.stream.Stream;
+import org.cowslippick.scheduler.share.FairQueue;
 
 /**
- * The waiting requests in dispatch order: those that can still be on time by rank, then late ones by rank. Adding and
- * removing take logarithmic time, so that draining the queue does not slow down at peak load.
+ * The waiting requests in dispatch order: those that can still be on time by rank, then late ones by rank. Requests of
+ * the same urgency are shared between organisations; within an organisation callers' retries go first, then the order of
+ * arrival counts. Adding and removing take logarithmic time, so that draining the queue does not slow down at peak load.
  */
 final class WaitingRequests {
 
@@ -23,8 +25,8 @@
             .thenComparingLong(request -> request.key().number());
 
     private final Map<SlotKey, SlotRequest> requests = new HashMap<>();
-    private final NavigableMap<Urgency, NavigableSet<SlotRequest>> onTime = new TreeMap<>();
-    private final NavigableMap<Urgency, NavigableSet<SlotRequest>> late = new TreeMap<>();
+    private final NavigableMap<Urgency, FairQueue<SlotRequest>> onTime = new TreeMap<>();
+    private final NavigableMap<Urgency, FairQueue<SlotRequest>> late = new TreeMap<>();
 
     int size() {
         return requests.size();
@@ -40,6 +42,7 @@
         queue(onTime, request).add(request);
     }
 
+    /** Removes a request that is not dispatched. */
     Optional<SlotRequest> remove(SlotKey key) {
         Optional<SlotRequest> removed = Optional.ofNullable(requests.remove(key));
         removed.ifPresent(request -> {
@@ -49,6 +52,13 @@
         return removed;
     }
 
+    /** Removes a request that is dispatched, which counts against the share of its organisation. */
+    void take(SlotRequest request, long nowNanos) {
+        takeFrom(onTime, request, nowNanos);
+        takeFrom(late, request, nowNanos);
+        remove(request.key());
+    }
+
     /** Moves a request behind all that can still be on time. */
     void markLate(SlotRequest request) {
         if (removeFrom(onTime, request)) {
@@ -61,43 +71,131 @@
         return requests.values().stream();
     }
 
-    /** The requests not marked late, most urgent first. */
+    /** The requests not marked late, in dispatch order. */
     Stream<SlotRequest> onTime() {
-        return onTime.values().stream().flatMap(NavigableSet::stream);
+        return onTime.values().stream().flatMap(FairQueue::stream);
     }
 
-    /** The requests marked late, most urgent first. */
+    /** The first of the requests not marked late. */
+    Optional<SlotRequest> firstOnTime() {
+        return onTime.isEmpty()
+                ? Optional.empty()
+                : onTime.firstEntry().getValue().first();
+    }
+
+    /** The requests marked late, in dispatch order. */
     Stream<SlotRequest> late() {
-        return late.values().stream().flatMap(NavigableSet::stream);
+        return late.values().stream().flatMap(FairQueue::stream);
     }
 
-    /** Counts the requests not marked late that precede a new one with the urgency of the given request. */
+    /** Counts the requests not marked late that are dispatched before a new first attempt like the given request. */
     int countAhead(SlotRequest request) {
-        return onTime.headMap(Urgency.of(request), true).values().stream()
-                .mapToInt(NavigableSet::size)
+        return countAhead(request, FairQueue::countAhead);
+    }
+
+    /** Counts the requests not marked late that are dispatched before a caller's retry like the given request. */
+    int countAheadOfRetry(SlotRequest request) {
+        return countAhead(request, FairQueue::countAheadOfReturn);
+    }
+
+    private int countAhead(SlotRequest request, ToIntBiFunction<FairQueue<SlotRequest>, SlotRequest> count) {
+        int moreUrgent = onTime.headMap(Urgency.of(request), false).values().stream()
+                .mapToInt(FairQueue::size)
                 .sum();
+        return moreUrgent
+                + sameUrgency(request)
+                        .map(queue -> count.applyAsInt(queue, request))
+                        .orElse(0);
+    }
+
+    /**
+     * How long requests wait that would be dispatched before the given one: the first of its organisation. If none of its
+     * organisation waits, the wait of others counts only for as long as nothing of its urgency has been dispatched.
+     */
+    long waitedNanos(SlotRequest request, long nowNanos) {
+        return sameUrgency(request)
+                .map(queue -> queue.firstOfOrganisation(request)
+                        .filter(first -> first.isCallerRetry() || !request.isCallerRetry())
+                        .map(first -> nowNanos - first.arrivedAtNanos())
+                        .orElseGet(() -> stalledNanos(queue, nowNanos)))
+                .orElse(0L);
     }
 
-    /** Returns the first request not marked late that has the urgency of the given request. */
-    Optional<SlotRequest> firstOfSameUrgency(SlotRequest request) {
-        return Optional.ofNullable(onTime.get(Urgency.of(request))).map(NavigableSet::first);
+    private static long stalledNanos(FairQueue<SlotRequest> queue, long nowNanos) {
+        long waited =
+                queue.first().map(first -> nowNanos - first.arrivedAtNanos()).orElse(0L);
+        return queue.takenAtNanos()
+                .map(taken -> Math.min(waited, nowNanos - taken))
+                .orElse(waited);
     }
 
-    private static NavigableSet<SlotRequest> queue(
-            NavigableMap<Urgency, NavigableSet<SlotRequest>> queues, SlotRequest request) {
-        return queues.computeIfAbsent(Urgency.of(request), _urgency -> new TreeSet<>(DISPATCH_ORDER));
+    /** Whether a first attempt of the urgency of the given request waits that can still be on time. */
+    boolean hasFirstAttempts(SlotRequest request) {
+        return sameUrgency(request).filter(FairQueue::hasFirstAttempts).isPresent();
     }
 
-    private static boolean removeFrom(NavigableMap<Urgency, NavigableSet<SlotRequest>> queues, SlotRequest request) {
+    /**
+     * Returns the request that a full queue gives up for a new one: the last of the lowest urgency, late ones first. One
+     * of the same urgency is given up only for a caller's retry, or for an organisation that has less waiting.
+     */
+    Optional<SlotRequest> replaceableBy(SlotRequest request) {
         Urgency urgency = Urgency.of(request);
-        NavigableSet<SlotRequest> queue = queues.get(urgency);
-        if (queue == null || !queue.remove(request)) {
-            return false;
+        Map.Entry<Urgency, FairQueue<SlotRequest>> lowest = lowestUrgency();
+        int comparison = lowest == null ? -1 : lowest.getKey().compareTo(urgency);
+        if (comparison < 0) {
+            return Optional.empty();
         }
-        if (queue.isEmpty()) {
+        return comparison == 0
+                ? lowest.getValue().replaceableBy(request)
+                : lowest.getValue().last();
+    }
+
+    private Map.Entry<Urgency, FairQueue<SlotRequest>> lowestUrgency() {
+        Map.Entry<Urgency, FairQueue<SlotRequest>> lowestLate = late.lastEntry();
+        Map.Entry<Urgency, FairQueue<SlotRequest>> lowestOnTime = onTime.lastEntry();
+        boolean isLate = lowestLate != null
+                && (lowestOnTime == null || lowestLate.getKey().compareTo(lowestOnTime.getKey()) >= 0);
+        return isLate ? lowestLate : lowestOnTime;
+    }
+
+    private Optional<FairQueue<SlotRequest>> sameUrgency(SlotRequest request) {
+        return Optional.ofNullable(onTime.get(Urgency.of(request)));
+    }
+
+    /** The scarce work of a request. */
+    private static double work(SlotRequest request) {
+        return request.promptTokens() == 0 ? 1 : request.promptTokens() + EndpointLoad.OVERHEAD_TOKENS;
+    }
+
+    private static FairQueue<SlotRequest> queue(
+            NavigableMap<Urgency, FairQueue<SlotRequest>> queues, SlotRequest request) {
+        return queues.computeIfAbsent(
+                Urgency.of(request),
+                _urgency -> new FairQueue<>(
+                        DISPATCH_ORDER, SlotRequest::organisation, WaitingRequests::work, SlotRequest::isCallerRetry));
+    }
+
+    private static boolean removeFrom(NavigableMap<Urgency, FairQueue<SlotRequest>> queues, SlotRequest request) {
+        return change(queues, request, queue -> queue.remove(request));
+    }
+
+    private static void takeFrom(
+            NavigableMap<Urgency, FairQueue<SlotRequest>> queues, SlotRequest request, long nowNanos) {
+        change(queues, request, queue -> queue.take(request, nowNanos));
+    }
+
+    /** Changes the queue of a request's urgency and forgets it once it is empty, with the shares used so far. */
+    private static boolean change(
+            NavigableMap<Urgency, FairQueue<SlotRequest>> queues,
+            SlotRequest request,
+            Predicate<FairQueue<SlotRequest>> change) {
+        Urgency urgency = Urgency.of(request);
+        FairQueue<SlotRequest> queue = queues.get(urgency);
+        boolean changed = queue != null && change.test(queue);
+        if (changed && queue.isEmpty()) {
             queues.remove(urgency);
         }
-        return true;
+        return changed;
     }
 
     /** The configured urgency of a request: the organisation's rank, then the route's rank. */
