--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -240,9 +240,7 @@
             waiting.markLate(first.get());
             first = waiting.firstOnTime();
         }
-        return Stream.concat(waiting.onTime(), waiting.late())
-                .filter(request -> canBePlaced(request, nowNanos))
-                .findFirst();
+        return waiting.first(request -> canBePlaced(request, nowNanos));
     }
 
     /** Whether a request can no longer be on time; a caller's retry is never marked late and so keeps its priority. */
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/WaitingRequests.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/WaitingRequests.java
@@ -88,6 +88,14 @@
         return late.values().stream().flatMap(FairQueue::stream);
     }
 
+    /** The first matching request in dispatch order; late ones come last. Does not evaluate the predicate further. */
+    Optional<SlotRequest> first(Predicate<SlotRequest> predicate) {
+        return Stream.concat(onTime.values().stream(), late.values().stream())
+                .map(queue -> queue.stream().filter(predicate).findFirst())
+                .<SlotRequest>mapMulti(Optional::ifPresent)
+                .findFirst();
+    }
+
     /** Counts the requests not marked late that are dispatched before a new first attempt like the given request. */
     int countAhead(SlotRequest request) {
         return countAhead(request, FairQueue::countAhead);
