--- a/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
@@ -397,6 +397,8 @@
             head = Optional.of(received);
             reportRateLimit(received);
             EndpointNoticeReader.read(received, context.names(), now()).ifPresent(this::reportNotice);
+            context.engineLoads()
+                    .read(endpoint, received, percent -> context.slots().reportMachineLoad(slot, percent));
             streaming = admission.route().kind() == RouteKind.EVENT_STREAM
                     && received.status().codeClass() == HttpStatusClass.SUCCESS
                     && (!resumes || isSealedStream(received));
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardingContext.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardingContext.java
@@ -21,4 +21,5 @@
         CrashDetector crashes,
         QuotaLimiter quotas,
         RetryBudget retries,
-        RelayMetrics metrics) {}
+        RelayMetrics metrics,
+        EngineLoadReader engineLoads) {}
--- a/relay/src/main/java/org/cowslippick/relay/message/HeaderNames.java
+++ b/relay/src/main/java/org/cowslippick/relay/message/HeaderNames.java
@@ -14,6 +14,7 @@
  * @param notRun marks the response to a request that the endpoint did not execute
  * @param rateLimit the requests a second that an endpoint accepts from all instances together
  * @param leaving marks the responses of an endpoint that takes no new requests
+ * @param engineLoad the endpoint's load as {@code running,waiting,slots[,percent]}
  * @param tokenCounts number of prompt tokens and maximum number of answer tokens
  * @param promptParts the parts of the prompt in order, as comma-separated {@code id:tokens}; the last is not shared
  * @param lengthHint the caller's estimate of the answer tokens
@@ -30,6 +31,7 @@
         String notRun,
         String rateLimit,
         String leaving,
+        String engineLoad,
         String tokenCounts,
         String promptParts,
         String lengthHint,
--- a/relay/src/main/java/org/cowslippick/relay/peer/FleetSlotBroker.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/FleetSlotBroker.java
@@ -4,13 +4,10 @@
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.time.TimerService;
-import org.cowslippick.core.time.TimerService.Subscription;
 import org.cowslippick.core.world.Incarnation;
 import org.cowslippick.core.world.Instance;
 import org.cowslippick.core.world.InstanceName;
@@ -95,7 +92,8 @@
         network.subscribe(SlotMessages.Adopt.class, this::onAdopt);
         network.subscribe(
                 SlotMessages.ResponseStarted.class,
-                (sender, message) -> localQueues.responseStarted(message.pool(), key(sender, message.number())));
+                (sender, message) ->
+                        recordResponseStart(message.pool(), key(sender, message.number()), message.load()));
         network.subscribe(
                 SlotMessages.Released.class,
                 (sender, message) ->
@@ -140,15 +138,32 @@
     @Override
     public void responseStarted(SlotKey key) {
         Optional.ofNullable(localRequests.get(key)).ifPresent(localRequest -> {
+            Optional<SlotMessages.AgedMachineLoad> load = localRequest.machineLoad.map(percent ->
+                    new SlotMessages.AgedMachineLoad(percent, timer.nanoTime() - localRequest.loadAsOfNanos));
             if (localRequest.owner.equals(self)) {
-                localQueues.responseStarted(localRequest.pool, key);
+                recordResponseStart(localRequest.pool, key, load);
             } else if (!localRequest.responseStarted) {
-                send(localRequest.owner, new SlotMessages.ResponseStarted(localRequest.pool, key.number()));
+                send(localRequest.owner, new SlotMessages.ResponseStarted(localRequest.pool, key.number(), load));
             }
             localRequest.responseStarted = true;
         });
     }
 
+    @Override
+    public void reportMachineLoad(SlotKey key, double percent) {
+        Optional.ofNullable(localRequests.get(key)).ifPresent(localRequest -> {
+            localRequest.machineLoad = Optional.of(percent);
+            localRequest.loadAsOfNanos = timer.nanoTime();
+        });
+    }
+
+    /** The load counts before the time to the first event, which it explains in part. */
+    private void recordResponseStart(SlotPool pool, SlotKey key, Optional<SlotMessages.AgedMachineLoad> load) {
+        load.ifPresent(
+                aged -> localQueues.recordMachineLoad(pool, key, aged.percent(), timer.nanoTime() - aged.ageNanos()));
+        localQueues.responseStarted(pool, key);
+    }
+
     @Override
     public void reportRateLimit(LiveEndpoint endpoint, Optional<Double> requestsPerSecond) {
         EndpointRateLimit limit = new EndpointRateLimit(requestsPerSecond, timer.nanoTime());
@@ -239,6 +254,7 @@
             @Override
             public void granted(SlotDecision.Granted grant) {
                 localRequest.grantedEndpoint = Optional.of(grant.endpoint().id());
+                localRequest.speed = grant.speed();
                 localRequest.listener.granted(grant);
             }
 
@@ -292,6 +308,7 @@
         localRequest.owner = owner(localRequest.pool);
         localRequest.formerOwners.remove(localRequest.owner);
         if (localRequest.owner.equals(self)) {
+            localQueues.inheritSpeed(localRequest.pool, localRequest.grantedEndpoint.get(), localRequest.speed);
             localQueues.adopt(localRequest.pool, localRequest.request, localRequest.grantedEndpoint.get());
         } else {
             send(
@@ -299,7 +316,8 @@
                     new SlotMessages.Adopt(
                             localRequest.pool,
                             SlotMessages.RelativeSlotRequest.of(localRequest.request, timer.nanoTime()),
-                            localRequest.grantedEndpoint.get()));
+                            localRequest.grantedEndpoint.get(),
+                            localRequest.speed));
         }
     }
 
@@ -334,6 +352,7 @@
     private void onAdopt(PeerIdentity sender, SlotMessages.Adopt message) {
         recordIncarnation(sender);
         SlotKey key = key(sender, message.request().number());
+        localQueues.inheritSpeed(message.pool(), message.endpoint(), message.speed());
         localQueues.adopt(message.pool(), message.request().toRequest(key, timer.nanoTime()), message.endpoint());
     }
 
@@ -375,12 +394,14 @@
             return;
         }
         ownersLimit.ifPresent(limit -> localQueues.recordRateLimit(message.pool(), endpoint.id(), limit));
+        localQueues.replaceSpeed(message.pool(), endpoint.id(), message.speed());
+        localRequest.get().speed = message.speed();
         localRequest.get().grantedEndpoint = Optional.of(endpoint.id());
         localRequest
                 .get()
                 .listener
                 .granted(new SlotDecision.Granted(
-                        localRequest.get().request, endpoint, message.predictedNanos(), ownersLimit));
+                        localRequest.get().request, endpoint, message.predictedNanos(), ownersLimit, message.speed()));
     }
 
     private void onRefused(PeerIdentity sender, SlotMessages.Refused message) {
@@ -406,32 +427,6 @@
         network.send(receiver, message);
     }
 
-    /** A request of this instance that waits for a slot or holds one. */
-    private static final class LocalRequest {
-        private final SlotPool pool;
-        private final SlotRequest request;
-        private final SlotListener listener;
-        private InstanceName owner;
-        /** Those that may still count the slot. They are told of its end, as one that was only slow goes on granting. */
-        private final Set<InstanceName> formerOwners = new HashSet<>();
-
-        private Optional<Subscription> timeout = Optional.empty();
-        private Optional<String> grantedEndpoint = Optional.empty();
-        private boolean responseStarted;
-
-        LocalRequest(SlotPool pool, SlotRequest request, SlotListener listener) {
-            this.pool = pool;
-            this.request = request;
-            this.listener = listener;
-            this.owner = request.key().instance();
-        }
-
-        void cancelTimeout() {
-            timeout.ifPresent(Subscription::cancel);
-            timeout = Optional.empty();
-        }
-    }
-
     /** Sends the decision about a request of another instance to that instance. */
     private final class RemoteListener implements SlotListener {
         private final InstanceName receiver;
@@ -453,7 +448,8 @@
                             grant.request().key().number(),
                             grant.endpoint(),
                             grant.predictedNanos(),
-                            grant.rateLimit().map(limit -> SlotMessages.AgedRateLimit.of(limit, timer.nanoTime()))));
+                            grant.rateLimit().map(limit -> SlotMessages.AgedRateLimit.of(limit, timer.nanoTime())),
+                            grant.speed()));
         }
 
         @Override
--- a/relay/src/main/java/org/cowslippick/relay/peer/SlotMessages.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/SlotMessages.java
@@ -11,6 +11,7 @@
 import org.cowslippick.fleet.wire.MessageWriter;
 import org.cowslippick.fleet.wire.PeerMessage;
 import org.cowslippick.fleet.wire.Priority;
+import org.cowslippick.scheduler.engine.SpeedEstimate;
 import org.cowslippick.scheduler.slot.AnswerOutcome;
 import org.cowslippick.scheduler.slot.EndpointNotice;
 import org.cowslippick.scheduler.slot.EndpointRateLimit;
@@ -171,30 +172,59 @@
         }
     }
 
-    /** Transfers to a new owner a request that holds a slot granted by the previous one. */
-    record Adopt(SlotPool pool, RelativeSlotRequest request, String endpoint) implements PeerMessage {
+    /**
+     * Transfers to a new owner a request that holds a slot granted by the previous one.
+     *
+     * @param speed the speed that the previous owner assumed of the endpoint
+     */
+    record Adopt(SlotPool pool, RelativeSlotRequest request, String endpoint, SpeedEstimate speed)
+            implements PeerMessage {
 
         private static void encode(Adopt message, MessageWriter writer) {
             encodePool(message.pool, writer);
             RelativeSlotRequest.encode(message.request, writer);
             writer.writeString(message.endpoint);
+            encodeSpeed(message.speed, writer);
         }
 
         private static Adopt decode(MessageReader reader) {
-            return new Adopt(decodePool(reader), RelativeSlotRequest.decode(reader), reader.readString());
+            return new Adopt(
+                    decodePool(reader), RelativeSlotRequest.decode(reader), reader.readString(), decodeSpeed(reader));
+        }
+    }
+
+    /** How long work takes on an engine's machine in percent of the usual time, and how long ago the engine said so. */
+    record AgedMachineLoad(double percent, long ageNanos) {
+
+        private static void encode(AgedMachineLoad load, MessageWriter writer) {
+            writer.writeDouble(load.percent);
+            writer.writeLong(load.ageNanos);
+        }
+
+        private static AgedMachineLoad decode(MessageReader reader) {
+            return new AgedMachineLoad(reader.readDouble(), reader.readLong());
         }
     }
 
-    /** Reports that the first part of the response has arrived. */
-    record ResponseStarted(SlotPool pool, long number) implements PeerMessage {
+    /**
+     * Reports that the first part of the response has arrived.
+     *
+     * @param load what the response said about the load of the engine's machine
+     */
+    record ResponseStarted(SlotPool pool, long number, Optional<AgedMachineLoad> load) implements PeerMessage {
 
         private static void encode(ResponseStarted message, MessageWriter writer) {
             encodePool(message.pool, writer);
             writer.writeLong(message.number);
+            writer.writeBoolean(message.load.isPresent());
+            message.load.ifPresent(load -> AgedMachineLoad.encode(load, writer));
         }
 
         private static ResponseStarted decode(MessageReader reader) {
-            return new ResponseStarted(decodePool(reader), reader.readLong());
+            return new ResponseStarted(
+                    decodePool(reader),
+                    reader.readLong(),
+                    reader.readBoolean() ? Optional.of(AgedMachineLoad.decode(reader)) : Optional.empty());
         }
     }
 
@@ -296,9 +326,15 @@
      * Grants a slot of the endpoint to the request.
      *
      * @param limit what the owner knows of the endpoint's rate limit; empty if it has never named one
+     * @param speed the speed that the owner assumes of the endpoint, which the receiver passes on to a new owner
      */
     record Granted(
-            SlotPool pool, long number, LiveEndpoint endpoint, long predictedNanos, Optional<AgedRateLimit> limit)
+            SlotPool pool,
+            long number,
+            LiveEndpoint endpoint,
+            long predictedNanos,
+            Optional<AgedRateLimit> limit,
+            SpeedEstimate speed)
             implements PeerMessage {
 
         private static void encode(Granted message, MessageWriter writer) {
@@ -308,6 +344,7 @@
             writer.writeLong(message.predictedNanos);
             writer.writeBoolean(message.limit.isPresent());
             message.limit.ifPresent(limit -> AgedRateLimit.encode(limit, writer));
+            encodeSpeed(message.speed, writer);
         }
 
         private static Granted decode(MessageReader reader) {
@@ -316,7 +353,8 @@
                     reader.readLong(),
                     StateSyncMessages.decodeEndpoint(reader),
                     reader.readLong(),
-                    reader.readBoolean() ? Optional.of(AgedRateLimit.decode(reader)) : Optional.empty());
+                    reader.readBoolean() ? Optional.of(AgedRateLimit.decode(reader)) : Optional.empty(),
+                    decodeSpeed(reader));
         }
     }
 
@@ -353,6 +391,16 @@
         }
     }
 
+    private static void encodeSpeed(SpeedEstimate speed, MessageWriter writer) {
+        writer.writeDouble(speed.nanosPerPromptToken());
+        writer.writeDouble(speed.nanosPerAnswerToken());
+        writer.writeDouble(speed.callNanos());
+    }
+
+    private static SpeedEstimate decodeSpeed(MessageReader reader) {
+        return new SpeedEstimate(reader.readDouble(), reader.readDouble(), reader.readDouble());
+    }
+
     private static void encodePool(SlotPool pool, MessageWriter writer) {
         writer.writeString(pool.service().value());
         writer.writeString(pool.region().name());
--- a/relay/src/main/java/org/cowslippick/relay/slot/LocalSlotQueues.java
+++ b/relay/src/main/java/org/cowslippick/relay/slot/LocalSlotQueues.java
@@ -7,9 +7,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Predicate;
+import java.util.function.ToLongFunction;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.time.TimerService;
 import org.cowslippick.core.world.InstanceName;
+import org.cowslippick.core.world.ServiceName;
+import org.cowslippick.scheduler.engine.SpeedEstimate;
 import org.cowslippick.scheduler.slot.AnswerOutcome;
 import org.cowslippick.scheduler.slot.EndpointNotice;
 import org.cowslippick.scheduler.slot.EndpointRateLimit;
@@ -30,6 +33,7 @@
     private final Map<SlotPool, SlotQueue> queues = new HashMap<>();
     private final Map<SlotKey, SlotListener> listeners = new HashMap<>();
     private Predicate<SlotPool> owns = _pool -> true;
+    private ToLongFunction<ServiceName> memoryTokens = _service -> 0;
     private boolean advanceScheduled;
     private ImmutableListMultimap<SlotPool, LiveEndpoint> endpoints = ImmutableListMultimap.of();
 
@@ -42,6 +46,26 @@
         owns = ownership;
     }
 
+    /** Sets the tokens that each engine of a service can hold, 0 if unknown; by default unknown for all. */
+    public void setMemory(ToLongFunction<ServiceName> memory) {
+        memoryTokens = memory;
+    }
+
+    /** Records what a response of an endpoint said about the present load of its machine. */
+    public void recordMachineLoad(SlotPool pool, SlotKey key, double percent, long asOfNanos) {
+        queue(pool).recordMachineLoad(key, percent, asOfNanos);
+    }
+
+    /** Takes over the speed that the pool's present owner assumes of an endpoint. */
+    public void replaceSpeed(SlotPool pool, String endpoint, SpeedEstimate estimate) {
+        queue(pool).replaceSpeed(endpoint, estimate);
+    }
+
+    /** Takes over the speed that a former owner assumed of an endpoint, unless it is known here. */
+    public void inheritSpeed(SlotPool pool, String endpoint, SpeedEstimate estimate) {
+        queue(pool).inheritSpeed(endpoint, estimate);
+    }
+
     /** Records what an endpoint of the pool said about its rate limit. */
     public void recordRateLimit(SlotPool pool, String endpoint, EndpointRateLimit limit) {
         deliver(queue(pool).recordRateLimit(endpoint, limit, timer.nanoTime()));
@@ -146,6 +170,7 @@
     private SlotQueue queue(SlotPool pool) {
         SlotQueue queue = queues.computeIfAbsent(pool, _pool -> new SlotQueue());
         queue.setOwner(owns.test(pool));
+        queue.setMemoryTokens(memoryTokens.applyAsLong(pool.service()));
         return queue;
     }
 
--- a/relay/src/main/java/org/cowslippick/relay/slot/SlotBroker.java
+++ b/relay/src/main/java/org/cowslippick/relay/slot/SlotBroker.java
@@ -23,6 +23,12 @@
     /** Reports that the first part of the response has arrived. */
     void responseStarted(SlotKey key);
 
+    /**
+     * Reports how long work takes on the machine of the endpoint that responds; 100 is as usual. It is passed on with the
+     * start of the response.
+     */
+    void reportMachineLoad(SlotKey key, double percent);
+
     /** Reports what the response to a dispatch said about the rate limit of its endpoint; empty if it named none. */
     void reportRateLimit(LiveEndpoint endpoint, Optional<Double> requestsPerSecond);
 
--- a/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
@@ -39,6 +39,7 @@
 import org.cowslippick.relay.caller.CallerServer;
 import org.cowslippick.relay.crash.CrashDetector;
 import org.cowslippick.relay.endpoint.EndpointConnections;
+import org.cowslippick.relay.forwarding.EngineLoadReader;
 import org.cowslippick.relay.forwarding.ForwardingContext;
 import org.cowslippick.relay.forwarding.RequestForwarder;
 import org.cowslippick.relay.limit.QuotaTolerance;
@@ -72,6 +73,7 @@
             "X-Not-Run",
             "X-Limit",
             "X-Leaving",
+            "X-Load",
             "X-Tokens",
             "X-Parts",
             "X-Hint",
@@ -110,7 +112,8 @@
                 new CrashDetector(new InstanceName("front-1"), new Incarnation(1), timer, connections::probe),
                 new SharedQuotas(timer, new QuotaTolerance(Duration.ofSeconds(8), 0.1, 0)),
                 new SharedRetryBudget(0.2, 50),
-                metrics));
+                metrics,
+                new EngineLoadReader(NAMES)));
         this.callers =
                 new CallerConnections(() -> table().limits(), timer, monitor, new RequestReader(NAMES), forwarder);
         this.address = HostAndPort.fromParts("127.0.0.1", freePort());
@@ -293,6 +296,11 @@
             localQueues.responseStarted(POOL, key);
         }
 
+        @Override
+        public void reportMachineLoad(SlotKey key, double percent) {
+            localQueues.recordMachineLoad(POOL, key, percent, System.nanoTime());
+        }
+
         @Override
         public void reportRateLimit(LiveEndpoint endpoint, Optional<Double> requestsPerSecond) {
             localQueues.recordRateLimit(
--- a/relay/src/test/java/org/cowslippick/relay/caller/CallerConnectionTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/caller/CallerConnectionTest.java
@@ -50,6 +50,7 @@
             "X-Not-Run",
             "X-Limit",
             "X-Leaving",
+            "X-Load",
             "X-Tokens",
             "X-Parts",
             "X-Hint",
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/AnswerOutcome.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/AnswerOutcome.java
@@ -19,6 +19,11 @@
         this.failureWeight = failureWeight;
     }
 
+    /** Whether the request had reached the endpoint and did not end with a response that names a failure. */
+    boolean isEndOfRun() {
+        return this == SOUND || this == BROKEN;
+    }
+
     /** 1 for an outcome that counts against the endpoint, 0 for one that does not. */
     public double failureWeight() {
         return failureWeight;
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointLoad.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointLoad.java
@@ -1,11 +1,12 @@
 package org.cowslippick.scheduler.slot;
 
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.world.InstanceName;
+import org.cowslippick.scheduler.engine.EngineMemory;
+import org.cowslippick.scheduler.engine.EngineSpeed;
+import org.cowslippick.scheduler.engine.PoolSpeeds;
 import org.cowslippick.scheduler.limit.TokenBucket;
 
 /**
@@ -17,14 +18,9 @@
     /** Fixed cost per prompt of an engine step, the connection and scheduling, expressed as prompt tokens. */
     static final double OVERHEAD_TOKENS = 600;
 
-    private static final double INITIAL_NANOS_PER_PROMPT_TOKEN = 12_000;
-    private static final double INITIAL_NANOS_PER_ANSWER_TOKEN = 4_000_000;
-
     /** Prompt tokens that an engine processes between two tokens of its streams. */
     private static final long PROMPT_TOKENS_PER_STEP = 2048;
 
-    private static final double INITIAL_APPLICATION_NANOS = 80_000_000;
-    private static final double SPEED_GAIN = 0.2;
     private static final double FAILURE_GAIN = 0.25;
     private static final double EJECTION_FAILURE_SHARE = 0.6;
     private static final long INITIAL_EJECTION_NANOS = Duration.ofMillis(500).toNanos();
@@ -38,18 +34,17 @@
     private Optional<EndpointRateLimit> rateLimit = Optional.empty();
     private Optional<TokenBucket> allowance = Optional.empty();
     private EndpointNotices.Known notices = EndpointNotices.Known.NOTHING;
-    private final Map<SlotKey, Dispatch> inFlight = new HashMap<>();
-    private double nanosPerPromptToken = INITIAL_NANOS_PER_PROMPT_TOKEN;
-    private double nanosPerAnswerToken = INITIAL_NANOS_PER_ANSWER_TOKEN;
-    private double applicationNanos = INITIAL_APPLICATION_NANOS;
-    private double pendingPromptTokens;
+    private final InFlightDispatches inFlight;
+    private final EngineSpeed speed;
     private double failureShare;
     private long failedAtNanos;
     private long ejectedUntilNanos;
     private long ejectionNanos = INITIAL_EJECTION_NANOS;
 
-    EndpointLoad(LiveEndpoint endpoint, long nowNanos) {
+    EndpointLoad(LiveEndpoint endpoint, PoolSpeeds pool, long nowNanos) {
         this.endpoint = endpoint;
+        this.speed = new EngineSpeed(pool);
+        this.inFlight = new InFlightDispatches(nowNanos);
         this.failedAtNanos = nowNanos;
         this.ejectedUntilNanos = nowNanos;
     }
@@ -62,6 +57,7 @@
         if (!newEndpoint.isSameRun(endpoint)) {
             rateLimit = Optional.empty();
             allowance = Optional.empty();
+            speed.restarted(newEndpoint.address().equals(endpoint.address()));
         }
         endpoint = newEndpoint;
     }
@@ -71,6 +67,15 @@
         notices = known;
     }
 
+    EngineSpeed speed() {
+        return speed;
+    }
+
+    /** Whether the request fits into the engine's memory beside those that it runs. */
+    boolean hasMemoryFor(SlotRequest request, long memoryTokens) {
+        return memoryTokens == 0 || inFlight.hasMemoryFor(memoryTokens(request), memoryTokens);
+    }
+
     boolean isLeaving() {
         return endpoint.leaving() || notices.isLeaving();
     }
@@ -80,11 +85,10 @@
      * so that the end of a pause brings no burst.
      */
     boolean accepts(InstanceName instance, long nowNanos) {
-        return notices.pausedUntil(instance)
-                .map(until -> nowNanos - until >= 0
-                        && inFlight.keySet().stream()
-                                .noneMatch(key -> key.instance().equals(instance)))
-                .orElse(true);
+        return notices.pausedUntilNanos().isEmpty()
+                || notices.pausedUntil(instance)
+                        .map(until -> nowNanos - until >= 0 && !inFlight.hasAnyOf(instance))
+                        .orElse(true);
     }
 
     /** The time until the end of the pause that the endpoint asked the instance for. */
@@ -143,10 +147,10 @@
 
     /** The time until the rate limit allows another request. */
     long nanosUntilAllowed(long nowNanos) {
-        return allowance
-                .filter(bucket -> !bucket.isAbove(0, nowNanos))
-                .map(bucket -> bucket.nanosUntilAbove(0, nowNanos))
-                .orElse(0L);
+        if (allowance.isEmpty() || allowance.get().isAbove(0, nowNanos)) {
+            return 0;
+        }
+        return allowance.get().nanosUntilAbove(0, nowNanos);
     }
 
     int freeSlots() {
@@ -158,73 +162,92 @@
     }
 
     /** The expected time to the first token of an additional request. */
-    long predictedNanos(SlotRequest request) {
+    long predictedNanos(SlotRequest request, long nowNanos) {
         if (request.promptTokens() == 0) {
-            return (long) (applicationNanos * (1.0 + (double) inFlight.size() / endpoint.slots()));
+            return (long) (callNanos(nowNanos) * (1.0 + (double) inFlight.size() / endpoint.slots()));
         }
-        return (long) ((pendingPromptTokens + work(request)) * nanosPerPromptToken);
+        return (long) ((inFlight.pendingWork() + work(request)) * nanosPerPromptToken(nowNanos));
+    }
+
+    private double callNanos(long nowNanos) {
+        double learnt = speed.callNanos(nowNanos);
+        Optional<Dispatch> overdue = inFlight.overdue(nowNanos);
+        return overdue.isEmpty()
+                ? learnt
+                : Math.max(learnt, (double) overdue.get().ageNanos(nowNanos));
+    }
+
+    private double nanosPerPromptToken(long nowNanos) {
+        double learnt = speed.nanosPerPromptToken(nowNanos);
+        Optional<Dispatch> overdue = inFlight.overdue(nowNanos);
+        return overdue.isEmpty()
+                ? learnt
+                : Math.max(
+                        learnt, overdue.get().ageNanos(nowNanos) / overdue.get().workToFirstToken());
     }
 
     /** The expected time from the first to the last token. */
     long answerNanos(SlotRequest request) {
-        return (long) (request.answerTokens() * nanosPerAnswerToken);
+        return (long) (request.answerTokens() * speed.nanosPerAnswerToken());
     }
 
     /** Whether processing the prompt would pause the running streams, or its own, beyond the request's bound. */
-    boolean wouldPauseStreams(SlotRequest request) {
+    boolean wouldPauseStreams(SlotRequest request, long nowNanos) {
         long stepTokens = Math.min(request.promptTokens(), PROMPT_TOKENS_PER_STEP);
         return request.maximumPauseNanos() > 0
                 && !inFlight.isEmpty()
-                && stepTokens * request.tokensPerEvent() * nanosPerPromptToken > request.maximumPauseNanos();
+                && stepTokens * request.tokensPerEvent() * nanosPerPromptToken(nowNanos) > request.maximumPauseNanos();
     }
 
     void start(SlotRequest request, long nowNanos) {
         allowance.ifPresent(bucket -> bucket.add(-1));
-        inFlight.put(request.key(), new Dispatch(work(request), pendingPromptTokens + work(request), nowNanos));
-        pendingPromptTokens += work(request);
+        inFlight.add(
+                request.key(),
+                new Dispatch(
+                        work(request),
+                        inFlight.pendingWork() + work(request),
+                        memoryTokens(request),
+                        predictedNanos(request, nowNanos),
+                        nowNanos));
     }
 
     /** Adds a request that has been running for an unknown time, so its time to first token is not used as a sample. */
     void adopt(SlotRequest request, long nowNanos) {
-        inFlight.put(request.key(), new Dispatch(work(request), work(request), nowNanos).withAnswerStart(nowNanos));
+        inFlight.add(request.key(), Dispatch.adopted(work(request), memoryTokens(request), nowNanos));
     }
 
     /** Removes a request of which nothing more is known; it tells nothing about the endpoint. */
     void forget(SlotRequest request) {
-        Dispatch dispatch = inFlight.remove(request.key());
-        if (dispatch != null && !dispatch.answerStarted()) {
-            pendingPromptTokens = Math.max(0, pendingPromptTokens - dispatch.work());
-        }
+        inFlight.remove(request.key());
     }
 
     /** Records the first token of a request, which implies that its prompt has been processed. */
     void recordAnswerStart(SlotRequest request, long nowNanos) {
-        Dispatch dispatch = inFlight.get(request.key());
-        if (dispatch == null || dispatch.answerStarted()) {
-            return;
-        }
-        inFlight.put(request.key(), dispatch.withAnswerStart(nowNanos));
-        pendingPromptTokens = Math.max(0, pendingPromptTokens - dispatch.work());
-        long elapsedNanos = nowNanos - dispatch.startedAtNanos();
+        inFlight.startAnswer(request.key(), nowNanos)
+                .ifPresent(dispatch -> observeFirstEvent(request, dispatch, nowNanos));
+    }
+
+    private void observeFirstEvent(SlotRequest request, Dispatch dispatch, long nowNanos) {
+        long elapsedNanos = dispatch.ageNanos(nowNanos);
         if (request.promptTokens() == 0) {
-            applicationNanos += SPEED_GAIN * (elapsedNanos - applicationNanos);
+            speed.observeCall((double) elapsedNanos, nowNanos);
         } else {
-            nanosPerPromptToken += SPEED_GAIN * (elapsedNanos / dispatch.workToFirstToken() - nanosPerPromptToken);
+            speed.observePrompt(elapsedNanos / dispatch.workToFirstToken(), nowNanos);
         }
     }
 
     /** Frees the slot of a request and records its outcome. */
     void end(SlotRequest request, AnswerOutcome outcome, long nowNanos) {
-        Dispatch dispatch = inFlight.remove(request.key());
-        if (dispatch == null) {
+        Optional<Dispatch> overdue = inFlight.overdue(nowNanos);
+        Optional<Dispatch> removed = inFlight.remove(request.key());
+        if (removed.isEmpty()) {
             return;
         }
-        if (!dispatch.answerStarted()) {
-            pendingPromptTokens = Math.max(0, pendingPromptTokens - dispatch.work());
-        } else if (outcome == AnswerOutcome.SOUND && request.answerTokens() > 0) {
-            double observedNanosPerToken =
-                    (double) (nowNanos - dispatch.answerStartedAtNanos()) / request.answerTokens();
-            nanosPerAnswerToken += SPEED_GAIN * (observedNanosPerToken - nanosPerAnswerToken);
+        Dispatch dispatch = removed.get();
+        if (removed.equals(overdue) && outcome.isEndOfRun()) {
+            observeFirstEvent(request, dispatch, nowNanos);
+        } else if (dispatch.isWholeAnswer() && outcome == AnswerOutcome.SOUND && request.answerTokens() > 0) {
+            speed.observeAnswer((double) (nowNanos - dispatch.answerStartedAtNanos()) / request.answerTokens());
         }
         recordOutcome(outcome, nowNanos);
     }
@@ -254,19 +277,7 @@
         return request.promptTokens() == 0 ? 1 : request.promptTokens() + OVERHEAD_TOKENS;
     }
 
-    private record Dispatch(
-            double work,
-            double workToFirstToken,
-            long startedAtNanos,
-            boolean answerStarted,
-            long answerStartedAtNanos) {
-
-        Dispatch(double work, double workToFirstToken, long startedAtNanos) {
-            this(work, workToFirstToken, startedAtNanos, false, 0);
-        }
-
-        Dispatch withAnswerStart(long nowNanos) {
-            return new Dispatch(work, workToFirstToken, startedAtNanos, true, nowNanos);
-        }
+    private static long memoryTokens(SlotRequest request) {
+        return EngineMemory.tokens(request.promptTokens(), request.answerTokens());
     }
 }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointPool.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointPool.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.function.ToLongFunction;
 import org.cowslippick.core.routing.LiveEndpoint;
+import org.cowslippick.scheduler.engine.PoolSpeeds;
 
 /** The endpoints of one slot queue: which of them may be used now, and which is the best for a request. */
 final class EndpointPool {
@@ -23,7 +24,19 @@
     private static final long PAUSE_PENALTY_NANOS = Duration.ofMillis(500).toNanos();
 
     private final Map<String, EndpointLoad> endpoints = new HashMap<>();
+    private final PoolSpeeds speeds = new PoolSpeeds();
     private boolean isOwner = true;
+    private long memoryTokens;
+
+    /** Sets the tokens that each engine of the pool can hold; 0 if unknown. */
+    void setMemoryTokens(long tokens) {
+        memoryTokens = tokens;
+    }
+
+    /** Whether the memory of engines is known, so that an open endpoint may have no room for a request. */
+    boolean hasMemoryBound() {
+        return memoryTokens > 0;
+    }
 
     /** Sets whether this instance is the designated owner, which alone uses endpoints with a rate limit. */
     void setOwner(boolean owner) {
@@ -39,7 +52,7 @@
         ImmutableSet<String> ids = current.stream().map(LiveEndpoint::id).collect(ImmutableSet.toImmutableSet());
         endpoints.keySet().retainAll(ids);
         current.forEach(endpoint -> endpoints
-                .computeIfAbsent(endpoint.id(), _id -> new EndpointLoad(endpoint, nowNanos))
+                .computeIfAbsent(endpoint.id(), _id -> new EndpointLoad(endpoint, speeds, nowNanos))
                 .setEndpoint(endpoint));
     }
 
@@ -76,7 +89,7 @@
 
     /** The shortest time to first token on any endpoint, if the request need not wait for a slot. */
     long fastestNanos(SlotRequest request, long nowNanos) {
-        return shortest(load -> load.nanosUntilAllowed(nowNanos) + load.predictedNanos(request), nowNanos);
+        return shortest(load -> load.nanosUntilAllowed(nowNanos) + load.predictedNanos(request, nowNanos), nowNanos);
     }
 
     long shortest(ToLongFunction<EndpointLoad> time, long nowNanos) {
@@ -90,11 +103,11 @@
     }
 
     Optional<EndpointLoad> cheapest(SlotRequest request, long nowNanos) {
+        updateSpeeds(nowNanos);
         EndpointLoad cheapest = null;
         long lowestCost = Long.MAX_VALUE;
         for (EndpointLoad load : endpoints.values()) {
-            if (isOpen(load, nowNanos)
-                    && load.accepts(request.key().instance(), nowNanos)
+            if (isOpenTo(load, request, nowNanos)
                     && !request.excludedEndpoints().contains(load.endpoint().id())) {
                 long cost = cost(load, request, nowNanos);
                 if (cheapest == null || cost < lowestCost) {
@@ -106,18 +119,29 @@
         return Optional.ofNullable(cheapest);
     }
 
+    private boolean isOpenTo(EndpointLoad load, SlotRequest request, long nowNanos) {
+        return isOpen(load, nowNanos)
+                && load.accepts(request.key().instance(), nowNanos)
+                && load.hasMemoryFor(request, memoryTokens);
+    }
+
+    private void updateSpeeds(long nowNanos) {
+        if (speeds.isOutdated(nowNanos)) {
+            speeds.update(endpoints.values().stream().map(EndpointLoad::speed).toList(), nowNanos);
+        }
+    }
+
     private static long cost(EndpointLoad load, SlotRequest request, long nowNanos) {
-        long end = nowNanos + load.predictedNanos(request) + load.answerNanos(request);
-        return load.predictedNanos(request)
+        long predicted = load.predictedNanos(request, nowNanos);
+        long end = nowNanos + predicted + load.answerNanos(request);
+        return predicted
                 + (long) (load.failureShare(nowNanos) * FAILURE_PENALTY_NANOS)
                 + (end - request.expiresAtNanos() > 0 ? TOO_SLOW_PENALTY_NANOS : 0)
-                + (load.wouldPauseStreams(request) ? PAUSE_PENALTY_NANOS : 0);
+                + (load.wouldPauseStreams(request, nowNanos) ? PAUSE_PENALTY_NANOS : 0);
     }
 
     boolean isAnyOpenTo(SlotRequest request, long nowNanos) {
-        return endpoints.values().stream()
-                .anyMatch(load ->
-                        isOpen(load, nowNanos) && load.accepts(request.key().instance(), nowNanos));
+        return endpoints.values().stream().anyMatch(load -> isOpenTo(load, request, nowNanos));
     }
 
     /** The time until the first endpoint wants requests from the instance again; 0 if one does already. */
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotDecision.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotDecision.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import org.cowslippick.core.routing.LiveEndpoint;
+import org.cowslippick.scheduler.engine.SpeedEstimate;
 
 /** The decision about one request in a scheduling step. */
 public sealed interface SlotDecision {
@@ -13,9 +14,14 @@
      *
      * @param predictedNanos the expected time to the first token
      * @param rateLimit what the granting queue knows of the endpoint's rate limit; empty if it has never named one
+     * @param speed the speed that the granting queue assumes of the endpoint
      */
     record Granted(
-            SlotRequest request, LiveEndpoint endpoint, long predictedNanos, Optional<EndpointRateLimit> rateLimit)
+            SlotRequest request,
+            LiveEndpoint endpoint,
+            long predictedNanos,
+            Optional<EndpointRateLimit> rateLimit,
+            SpeedEstimate speed)
             implements SlotDecision {}
 
     /**
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -10,6 +10,7 @@
 import java.util.stream.Stream;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.world.InstanceName;
+import org.cowslippick.scheduler.engine.SpeedEstimate;
 
 /**
  * The slots of a pool's endpoints and the requests that wait for one. An endpoint is chosen when a slot becomes free,
@@ -45,6 +46,27 @@
         endpoints.setOwner(owner);
     }
 
+    /** Sets the tokens that each engine of the pool can hold; 0 if unknown. */
+    public void setMemoryTokens(long tokens) {
+        endpoints.setMemoryTokens(tokens);
+    }
+
+    /** Records what a response of an endpoint said about the present load of its machine. */
+    public void recordMachineLoad(SlotKey key, double percent, long asOfNanos) {
+        Optional.ofNullable(running.get(key))
+                .ifPresent(entry -> entry.load().speed().recordMachineLoad(percent, asOfNanos));
+    }
+
+    /** Takes over the speed that the pool's present owner assumes of an endpoint. */
+    public void replaceSpeed(String endpoint, SpeedEstimate estimate) {
+        endpoints.get(endpoint).ifPresent(load -> load.speed().replaceBy(estimate));
+    }
+
+    /** Takes over the speed that a former owner assumed of an endpoint, unless this owner has observed it. */
+    public void inheritSpeed(String endpoint, SpeedEstimate estimate) {
+        endpoints.get(endpoint).ifPresent(load -> load.speed().inherit(estimate));
+    }
+
     /** Records what an endpoint said about its rate limit. */
     public ImmutableList<SlotDecision> recordRateLimit(String endpoint, EndpointRateLimit limit, long nowNanos) {
         endpoints.get(endpoint).ifPresent(load -> load.recordRateLimit(limit, nowNanos));
@@ -88,7 +110,7 @@
             return refusal(request, SlotDecision.Reason.NO_ENDPOINT, NO_ENDPOINT_RETRY_AFTER.toNanos());
         }
         long wait = expectedWaitNanos(request, nowNanos);
-        long earliest = wait + endpoints.shortest(load -> load.predictedNanos(request), nowNanos);
+        long earliest = wait + endpoints.shortest(load -> load.predictedNanos(request, nowNanos), nowNanos);
         boolean onTime = nowNanos + earliest - request.onTimeUntilNanos() <= 0;
         boolean servedBeforeDeadline = request.isCallerRetry() && nowNanos + wait - request.queueDeadlineNanos() < 0;
         if (waiting.size() >= MAXIMUM_WAITING || (wait > 0 && !onTime && !servedBeforeDeadline)) {
@@ -236,18 +258,23 @@
     }
 
     private boolean canBePlaced(SlotRequest request, long nowNanos) {
-        return (request.excludedEndpoints().isEmpty() && !notices.hasPauses())
+        return (request.excludedEndpoints().isEmpty() && !notices.hasPauses() && !endpoints.hasMemoryBound())
                 || endpoints.cheapest(request, nowNanos).isPresent();
     }
 
     private SlotDecision grant(SlotRequest request, long nowNanos) {
         EndpointLoad load = endpoints.cheapest(request, nowNanos).orElseThrow();
-        long predicted = load.predictedNanos(request);
+        long predicted = load.predictedNanos(request, nowNanos);
         waiting.remove(request.key());
         load.start(request, nowNanos);
         running.put(request.key(), new Running(request, load));
         dispatchRate.recordDispatch(nowNanos);
-        return new SlotDecision.Granted(request, load.endpoint(), predicted, load.rateLimit());
+        return new SlotDecision.Granted(
+                request,
+                load.endpoint(),
+                predicted,
+                load.rateLimit(),
+                load.speed().estimate());
     }
 
     /**
