--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/ConnectionPreference.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/ConnectionPreference.java
@@ -15,7 +15,7 @@
         if (!request.connectedEndpoints().contains(load.endpoint().id())) {
             return 0;
         }
-        long slackNanos = request.onTimeUntilNanos() - nowNanos - load.predictedNanos(request);
+        long slackNanos = request.onTimeUntilNanos() - nowNanos - load.predictedNanos(request, nowNanos);
         return Math.max(0, Math.min(ADVANTAGE_NANOS, slackNanos));
     }
 }
