--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/ConnectionPreference.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/ConnectionPreference.java
@@ -6,7 +6,7 @@
 final class ConnectionPreference {
 
     /** The longest round trip within a region, which opening a connection takes. */
-    private static final long ADVANTAGE_NANOS = Duration.ofMillis(3).toNanos();
+    private static final long ADVANTAGE_NANOS = Duration.ofMillis(8).toNanos();
 
     private ConnectionPreference() {}
 
