--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/Refusals.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/Refusals.java
@@ -1,6 +1,7 @@
 package org.cowslippick.scheduler.slot;
 
 import java.time.Duration;
+import org.cowslippick.scheduler.share.OrganisationReturns;
 import org.cowslippick.scheduler.share.ReturnSchedule;
 
 /**
@@ -25,6 +26,12 @@
 
     private final RefusedRequests refused = new RefusedRequests();
     private final ReturnSchedule returns = new ReturnSchedule();
+    private final OrganisationReturns organisationReturns = new OrganisationReturns();
+
+    /** Records a dispatch, from which the share of its organisation follows. */
+    void recordDispatch(SlotRequest request) {
+        organisationReturns.recordDispatch(request.organisation());
+    }
 
     /** Returns the request as a caller's retry if it was refused before and comes at the named time or later. */
     SlotRequest matchRetry(SlotRequest request, long nowNanos) {
@@ -58,7 +65,9 @@
 
     private long bookedNanos(SlotRequest request, long earliestNanos, long dispatchNanos, long nowNanos) {
         long latest = Math.min(MAXIMUM_RETRY_AFTER_NANOS, honouredNanos(request, nowNanos));
-        return returns.book(request.rank(), Math.min(earliestNanos, latest), latest, dispatchNanos, nowNanos);
+        long earliest = organisationReturns.earliestNanos(
+                request.organisation(), Math.min(earliestNanos, latest), latest, dispatchNanos, nowNanos);
+        return returns.book(request.rank(), earliest, latest, dispatchNanos, nowNanos);
     }
 
     private SlotDecision.Refused refuse(
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -261,6 +261,7 @@
         load.start(request, nowNanos);
         running.put(request.key(), new Running(request, load));
         dispatchRate.recordDispatch(nowNanos);
+        refusals.recordDispatch(request);
         return new SlotDecision.Granted(request, load.endpoint(), predicted, load.rateLimit());
     }
 
--- a/scheduler/src/test/java/org/cowslippick/scheduler/slot/SharingReplayTest.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/slot/SharingReplayTest.java
@@ -24,6 +24,7 @@
         flood(anonymous, false);
         assertTrue(replay.onTimeShare(IS_FLOODING.negate()) > 0.95);
         assertTrue(anonymous.onTimeShare(IS_FLOODING.negate()) < 0.5);
+        assertTrue(replay.answeredShare(IS_FLOODING) > 0.85);
     }
 
     private static void flood(SlotReplay replay, boolean named) {
@@ -63,6 +64,18 @@
         assertTrue(twice <= refused / 20, () -> twice + " of " + refused + " refused twice");
     }
 
+    /** Callers that returned faster than the share of their organisation allows were refused again. */
+    @Test
+    void callersOfAnOrganisationOverItsShareReturnAtTheRateOfItsShare() {
+        IntStream.range(0, 16)
+                .forEach(index -> replay.load("organisation-" + index, 0, PROMPT_TOKENS, 5, 10 * index, 9_000));
+        replay.load("organisation-1", 0, PROMPT_TOKENS, 60, 1_500, 7_500);
+        replay.load("organisation-2", 0, 6_000, 15, 1_500, 7_500);
+        replay.run(25_000);
+        long twice = replay.count(call -> call.refusals > 1);
+        assertTrue(twice <= 10, () -> twice + " refused twice");
+    }
+
     /** A higher rank must not lose by the flood of a lower one. */
     @Test
     void higherRankIsServedBesideAFloodOfALowerOne() {
