--- a/scheduler/src/main/java/org/cowslippick/scheduler/engine/PoolSpeeds.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/engine/PoolSpeeds.java
@@ -14,8 +14,8 @@
     private static final double INITIAL_NANOS_PER_ANSWER_TOKEN = 4_000_000;
     private static final double INITIAL_CALL_NANOS = 80_000_000;
 
-    /** The shortest time between two updates for each engine, so that sorting takes less than 1% of a core. */
-    private static final long UPDATE_PERIOD_PER_ENGINE_NANOS = 50_000;
+    /** The time between two updates for each engine, so that sorting takes a small part of a core. */
+    private static final long UPDATE_PERIOD_PER_ENGINE_NANOS = 200_000;
 
     private double nanosPerPromptToken = INITIAL_NANOS_PER_PROMPT_TOKEN;
     private double nanosPerAnswerToken = INITIAL_NANOS_PER_ANSWER_TOKEN;
@@ -31,7 +31,7 @@
     /** Updates the medians. */
     public void update(Collection<EngineSpeed> engines, long nowNanos) {
         isUpdated = true;
-        nextUpdateNanos = nowNanos + engines.size() * UPDATE_PERIOD_PER_ENGINE_NANOS;
+        nextUpdateNanos = nowNanos + (engines.size() + 1) * UPDATE_PERIOD_PER_ENGINE_NANOS;
         nanosPerPromptToken = median(engines, EngineSpeed::prompt, INITIAL_NANOS_PER_PROMPT_TOKEN);
         nanosPerAnswerToken = median(engines, EngineSpeed::answer, INITIAL_NANOS_PER_ANSWER_TOKEN);
         callNanos = median(engines, EngineSpeed::call, INITIAL_CALL_NANOS);
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointLoad.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointLoad.java
@@ -191,12 +191,29 @@
         return (long) (request.answerTokens() * speed.nanosPerAnswerToken());
     }
 
-    /** Whether processing the prompt would pause the running streams, or its own, beyond the request's bound. */
+    /** The streams that the endpoint has begun to answer. */
+    int answering() {
+        return inFlight.answering();
+    }
+
+    /** Whether prompts wait to be read, so that the endpoint is about to become less busy by itself. */
+    boolean isReading() {
+        return inFlight.pendingWork() > 0;
+    }
+
+    /**
+     * Whether reading the prompt, after those that wait to be read, would keep two events of a running stream apart for
+     * longer than the request's bound. An engine reads a part of the prompts in each step, so an event waits for as many
+     * parts as it has tokens.
+     */
     boolean wouldPauseStreams(SlotRequest request, long nowNanos) {
-        long stepTokens = Math.min(request.promptTokens(), PROMPT_TOKENS_PER_STEP);
-        return request.maximumPauseNanos() > 0
-                && !inFlight.isEmpty()
-                && stepTokens * request.tokensPerEvent() * nanosPerPromptToken(nowNanos) > request.maximumPauseNanos();
+        if (request.maximumPauseNanos() == 0 || inFlight.answering() == 0) {
+            return false;
+        }
+        double promptTokens = Math.min(inFlight.pendingWork() + request.promptTokens(), (double)
+                (PROMPT_TOKENS_PER_STEP * request.tokensPerEvent()));
+        return promptTokens * nanosPerPromptToken(nowNanos) + request.tokensPerEvent() * speed.nanosPerAnswerToken()
+                > request.maximumPauseNanos();
     }
 
     void start(SlotRequest request, long nowNanos) {
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointPool.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointPool.java
@@ -23,7 +23,17 @@
     /** The cost of pausing the streams of an endpoint for too long. */
     private static final long PAUSE_PENALTY_NANOS = Duration.ofMillis(500).toNanos();
 
+    /** The best of this many differs little from the best of all; the pools of a region are rarely larger. */
+    /** The rest of its time that a request must have to wait for an endpoint that is about to read its prompts. */
+    private static final long WAITING_MARGIN_NANOS = Duration.ofMillis(400).toNanos();
+
+    private static final int MAXIMUM_COMPARED = 128;
+
     private final Map<String, EndpointLoad> endpoints = new HashMap<>();
+    /** The endpoints in the order in which they are compared. */
+    private ImmutableList<EndpointLoad> all = ImmutableList.of();
+
+    private int firstCompared;
     private final PoolSpeeds speeds = new PoolSpeeds();
     private boolean isOwner = true;
     private long memoryTokens;
@@ -33,11 +43,6 @@
         memoryTokens = tokens;
     }
 
-    /** Whether the memory of engines is known, so that an open endpoint may have no room for a request. */
-    boolean hasMemoryBound() {
-        return memoryTokens > 0;
-    }
-
     /** Sets whether this instance is the designated owner, which alone uses endpoints with a rate limit. */
     void setOwner(boolean owner) {
         isOwner = owner;
@@ -54,6 +59,7 @@
         current.forEach(endpoint -> endpoints
                 .computeIfAbsent(endpoint.id(), _id -> new EndpointLoad(endpoint, speeds, nowNanos))
                 .setEndpoint(endpoint));
+        all = ImmutableList.copyOf(endpoints.values());
     }
 
     /** Whether there is no endpoint that takes new requests, now or later. */
@@ -70,7 +76,7 @@
     }
 
     boolean hasOpen(long nowNanos) {
-        for (EndpointLoad load : endpoints.values()) {
+        for (EndpointLoad load : all) {
             if (isOpen(load, nowNanos)) {
                 return true;
             }
@@ -79,7 +85,7 @@
     }
 
     private boolean isOpen(EndpointLoad load, long nowNanos) {
-        return isAvailable(load, nowNanos) && load.freeSlots() > 0 && load.nanosUntilAllowed(nowNanos) == 0;
+        return load.freeSlots() > 0 && isAvailable(load, nowNanos) && load.nanosUntilAllowed(nowNanos) == 0;
     }
 
     /** Whether this queue may use the endpoint, now or when a slot and its rate limit allow. */
@@ -87,14 +93,31 @@
         return load.isUsable(nowNanos) && (isOwner || !load.isRateLimited());
     }
 
-    /** The shortest time to first token on any endpoint, if the request need not wait for a slot. */
-    long fastestNanos(SlotRequest request, long nowNanos) {
-        return shortest(load -> load.nanosUntilAllowed(nowNanos) + load.predictedNanos(request, nowNanos), nowNanos);
+    /**
+     * Whether the request would be on time with a slot of some endpoint after a wait; if none is available, whether its
+     * time has not passed by then.
+     */
+    boolean canBeOnTime(SlotRequest request, long waitNanos, long nowNanos) {
+        boolean isAnyAvailable = false;
+        for (EndpointLoad load : all) {
+            if (isAvailable(load, nowNanos)) {
+                isAnyAvailable = true;
+                if (isOnTime(load, request, waitNanos, nowNanos)) {
+                    return true;
+                }
+            }
+        }
+        return !isAnyAvailable && nowNanos + waitNanos - request.onTimeUntilNanos() <= 0;
+    }
+
+    private static boolean isOnTime(EndpointLoad load, SlotRequest request, long waitNanos, long nowNanos) {
+        long first = Math.max(waitNanos, load.nanosUntilAllowed(nowNanos)) + load.predictedNanos(request, nowNanos);
+        return nowNanos + first - request.onTimeUntilNanos() <= 0;
     }
 
     long shortest(ToLongFunction<EndpointLoad> time, long nowNanos) {
         long shortest = Long.MAX_VALUE;
-        for (EndpointLoad load : endpoints.values()) {
+        for (EndpointLoad load : all) {
             if (isAvailable(load, nowNanos)) {
                 shortest = Math.min(shortest, time.applyAsLong(load));
             }
@@ -102,13 +125,22 @@
         return shortest == Long.MAX_VALUE ? 0 : shortest;
     }
 
+    /**
+     * The endpoint with the lowest cost among those open to the request. In a pool with more than the maximum, each
+     * decision compares others, so that its processor time does not grow with the pool.
+     */
     Optional<EndpointLoad> cheapest(SlotRequest request, long nowNanos) {
         updateSpeeds(nowNanos);
         EndpointLoad cheapest = null;
         long lowestCost = Long.MAX_VALUE;
-        for (EndpointLoad load : endpoints.values()) {
+        int compared = 0;
+        int first = all.size() > MAXIMUM_COMPARED ? firstCompared : 0;
+        for (int index = 0; index < all.size() && compared < MAXIMUM_COMPARED; index++) {
+            EndpointLoad load = all.get((first + index) % all.size());
             if (isOpenTo(load, request, nowNanos)
+                    && !isBetterLater(load, request, nowNanos)
                     && !request.excludedEndpoints().contains(load.endpoint().id())) {
+                compared++;
                 long cost = cost(load, request, nowNanos);
                 if (cheapest == null || cost < lowestCost) {
                     cheapest = load;
@@ -116,6 +148,7 @@
                 }
             }
         }
+        firstCompared = all.isEmpty() ? 0 : (first + MAXIMUM_COMPARED) % all.size();
         return Optional.ofNullable(cheapest);
     }
 
@@ -125,6 +158,16 @@
                 && load.hasMemoryFor(request, memoryTokens);
     }
 
+    /**
+     * Whether a prompt would pause the running streams of an endpoint too long now, but not once the endpoint has read
+     * those that wait, and the request is on time even then.
+     */
+    private static boolean isBetterLater(EndpointLoad load, SlotRequest request, long nowNanos) {
+        return load.isReading()
+                && load.wouldPauseStreams(request, nowNanos)
+                && isOnTime(load, request, WAITING_MARGIN_NANOS, nowNanos);
+    }
+
     private void updateSpeeds(long nowNanos) {
         if (speeds.isOutdated(nowNanos)) {
             speeds.update(endpoints.values().stream().map(EndpointLoad::speed).toList(), nowNanos);
@@ -141,7 +184,12 @@
     }
 
     boolean isAnyOpenTo(SlotRequest request, long nowNanos) {
-        return endpoints.values().stream().anyMatch(load -> isOpenTo(load, request, nowNanos));
+        for (EndpointLoad load : all) {
+            if (isOpenTo(load, request, nowNanos)) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** The time until the first endpoint wants requests from the instance again; 0 if one does already. */
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/InFlightDispatches.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/InFlightDispatches.java
@@ -13,6 +13,7 @@
     private final Map<SlotKey, Dispatch> dispatches = new HashMap<>();
     private final EngineMemory memory = new EngineMemory();
     private double pendingWork;
+    private int unanswered;
     private long latestAnsweredStartNanos;
 
     /**
@@ -37,6 +38,11 @@
         return dispatches.keySet().stream().anyMatch(key -> key.instance().equals(instance));
     }
 
+    /** The number of requests that have had their first event. */
+    int answering() {
+        return dispatches.size() - unanswered;
+    }
+
     /** The work of the requests without a first event. */
     double pendingWork() {
         return pendingWork;
@@ -59,6 +65,7 @@
         memory.reserve(dispatch.memoryTokens());
         if (!dispatch.answerStarted()) {
             pendingWork += dispatch.work();
+            unanswered++;
             findOldestUnanswered();
         }
     }
@@ -68,7 +75,7 @@
         removed.ifPresent(dispatch -> {
             memory.free(dispatch.memoryTokens());
             if (!dispatch.answerStarted()) {
-                pendingWork = Math.max(0, pendingWork - dispatch.work());
+                answered(dispatch);
                 findOldestUnanswered();
             }
         });
@@ -80,7 +87,7 @@
         Optional<Dispatch> started = Optional.ofNullable(dispatches.get(key)).filter(found -> !found.answerStarted());
         started.ifPresent(dispatch -> {
             dispatches.put(key, dispatch.withAnswerStart(nowNanos));
-            pendingWork = Math.max(0, pendingWork - dispatch.work());
+            answered(dispatch);
             if (dispatch.startedAtNanos() - latestAnsweredStartNanos > 0) {
                 latestAnsweredStartNanos = dispatch.startedAtNanos();
             }
@@ -89,6 +96,12 @@
         return started;
     }
 
+    /** Without unanswered requests the sum is exactly 0, whatever was lost in adding and subtracting. */
+    private void answered(Dispatch dispatch) {
+        unanswered--;
+        pendingWork = unanswered == 0 ? 0 : Math.max(0, pendingWork - dispatch.work());
+    }
+
     private void findOldestUnanswered() {
         oldestUnanswered = dispatches.values().stream()
                 .filter(dispatch ->
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -110,10 +110,9 @@
             return refusal(request, SlotDecision.Reason.NO_ENDPOINT, NO_ENDPOINT_RETRY_AFTER.toNanos());
         }
         long wait = expectedWaitNanos(request, nowNanos);
-        long earliest = wait + endpoints.shortest(load -> load.predictedNanos(request, nowNanos), nowNanos);
-        boolean onTime = nowNanos + earliest - request.onTimeUntilNanos() <= 0;
         boolean servedBeforeDeadline = request.isCallerRetry() && nowNanos + wait - request.queueDeadlineNanos() < 0;
-        if (waiting.size() >= MAXIMUM_WAITING || (wait > 0 && !onTime && !servedBeforeDeadline)) {
+        if (waiting.size() >= MAXIMUM_WAITING
+                || (wait > 0 && !servedBeforeDeadline && !endpoints.canBeOnTime(request, wait, nowNanos))) {
             refused.add(request, nowNanos);
             return refusal(
                     request,
@@ -229,7 +228,7 @@
 
     private ImmutableList<SlotDecision> step(long nowNanos) {
         ImmutableList.Builder<SlotDecision> decisions = ImmutableList.builder();
-        Optional<SlotRequest> next = next(nowNanos);
+        Optional<Placement> next = next(nowNanos);
         while (next.isPresent()) {
             decisions.add(grant(next.get(), nowNanos));
             next = next(nowNanos);
@@ -237,8 +236,8 @@
         return decisions.build();
     }
 
-    /** Returns the next request that can be granted a slot now. */
-    private Optional<SlotRequest> next(long nowNanos) {
+    /** Returns the next request that can be granted a slot now, and the endpoint. */
+    private Optional<Placement> next(long nowNanos) {
         if (waiting.isEmpty() || !endpoints.hasOpen(nowNanos)) {
             return Optional.empty();
         }
@@ -247,23 +246,22 @@
                 .toList()
                 .forEach(waiting::markLate);
         return Stream.concat(waiting.onTime(), waiting.late())
-                .filter(request -> canBePlaced(request, nowNanos))
+                .flatMap(request -> place(request, nowNanos).stream())
                 .findFirst();
     }
 
-    /** Whether a request can no longer be on time; a caller's retry is never marked late and so keeps its priority. */
-    private boolean isLate(SlotRequest request, long nowNanos) {
-        return !request.isCallerRetry()
-                && nowNanos + endpoints.fastestNanos(request, nowNanos) - request.onTimeUntilNanos() > 0;
+    private Optional<Placement> place(SlotRequest request, long nowNanos) {
+        return endpoints.cheapest(request, nowNanos).map(load -> new Placement(request, load));
     }
 
-    private boolean canBePlaced(SlotRequest request, long nowNanos) {
-        return (request.excludedEndpoints().isEmpty() && !notices.hasPauses() && !endpoints.hasMemoryBound())
-                || endpoints.cheapest(request, nowNanos).isPresent();
+    /** Whether a request can no longer be on time; a caller's retry is never marked late and so keeps its priority. */
+    private boolean isLate(SlotRequest request, long nowNanos) {
+        return !request.isCallerRetry() && !endpoints.canBeOnTime(request, 0, nowNanos);
     }
 
-    private SlotDecision grant(SlotRequest request, long nowNanos) {
-        EndpointLoad load = endpoints.cheapest(request, nowNanos).orElseThrow();
+    private SlotDecision grant(Placement placement, long nowNanos) {
+        SlotRequest request = placement.request();
+        EndpointLoad load = placement.load();
         long predicted = load.predictedNanos(request, nowNanos);
         waiting.remove(request.key());
         load.start(request, nowNanos);
@@ -307,5 +305,7 @@
         return Math.max(MINIMUM_RETRY_AFTER.toNanos(), Math.min(nanos, MAXIMUM_RETRY_AFTER.toNanos()));
     }
 
+    private record Placement(SlotRequest request, EndpointLoad load) {}
+
     private record Running(SlotRequest request, EndpointLoad load) {}
 }
