--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -131,8 +131,7 @@
      * caller disconnects, or if it would be refused while first attempts of its urgency wait.
      */
     private boolean isWorthQueueing(SlotRequest request, long waitNanos, long nowNanos) {
-        long earliest = waitNanos + endpoints.shortest(load -> load.predictedNanos(request, nowNanos), nowNanos);
-        boolean onTime = nowNanos + earliest - request.onTimeUntilNanos() <= 0;
+        boolean onTime = endpoints.canBeOnTime(request, waitNanos, nowNanos);
         boolean retryServed = nowNanos + waitNanos - request.queueDeadlineNanos() < 0
                 || (nowNanos - request.queueDeadlineNanos() < 0 && waiting.hasFirstAttempts(request));
         return onTime || (request.isCallerRetry() && retryServed);
@@ -244,7 +243,7 @@
 
     private ImmutableList<SlotDecision> step(long nowNanos) {
         ImmutableList.Builder<SlotDecision> decisions = ImmutableList.builder();
-        Optional<SlotRequest> next = next(nowNanos);
+        Optional<Placement> next = next(nowNanos);
         while (next.isPresent()) {
             decisions.add(grant(next.get(), nowNanos));
             next = next(nowNanos);
@@ -252,8 +251,8 @@
         return decisions.build();
     }
 
-    /** Returns the next request that can be granted a slot now. */
-    private Optional<SlotRequest> next(long nowNanos) {
+    /** Returns the next request that can be granted a slot now, and the endpoint. */
+    private Optional<Placement> next(long nowNanos) {
         if (waiting.isEmpty() || !endpoints.hasOpen(nowNanos)) {
             return Optional.empty();
         }
@@ -262,22 +261,21 @@
             waiting.markLate(first.get());
             first = waiting.firstOnTime();
         }
-        return waiting.first(request -> canBePlaced(request, nowNanos));
+        return waiting.first(request -> place(request, nowNanos));
     }
 
-    /** Whether a request can no longer be on time; a caller's retry is never marked late and so keeps its priority. */
-    private boolean isLate(SlotRequest request, long nowNanos) {
-        return !request.isCallerRetry()
-                && nowNanos + endpoints.fastestNanos(request, nowNanos) - request.onTimeUntilNanos() > 0;
+    private Optional<Placement> place(SlotRequest request, long nowNanos) {
+        return endpoints.cheapest(request, nowNanos).map(load -> new Placement(request, load));
     }
 
-    private boolean canBePlaced(SlotRequest request, long nowNanos) {
-        return (request.excludedEndpoints().isEmpty() && !notices.hasPauses() && !endpoints.hasMemoryBound())
-                || endpoints.cheapest(request, nowNanos).isPresent();
+    /** Whether a request can no longer be on time; a caller's retry is never marked late and so keeps its priority. */
+    private boolean isLate(SlotRequest request, long nowNanos) {
+        return !request.isCallerRetry() && !endpoints.canBeOnTime(request, 0, nowNanos);
     }
 
-    private SlotDecision grant(SlotRequest request, long nowNanos) {
-        EndpointLoad load = endpoints.cheapest(request, nowNanos).orElseThrow();
+    private SlotDecision grant(Placement placement, long nowNanos) {
+        SlotRequest request = placement.request();
+        EndpointLoad load = placement.load();
         long predicted = load.predictedNanos(request, nowNanos);
         waiting.take(request, nowNanos);
         load.start(request, nowNanos);
@@ -310,5 +308,7 @@
                 .getAsLong();
     }
 
+    private record Placement(SlotRequest request, EndpointLoad load) {}
+
     private record Running(SlotRequest request, EndpointLoad load) {}
 }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/WaitingRequests.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/WaitingRequests.java
@@ -6,6 +6,7 @@
 import java.util.NavigableMap;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.function.ToIntBiFunction;
 import java.util.stream.Stream;
@@ -88,11 +89,14 @@
         return late.values().stream().flatMap(FairQueue::stream);
     }
 
-    /** The first matching request in dispatch order; late ones come last. Does not evaluate the predicate further. */
-    Optional<SlotRequest> first(Predicate<SlotRequest> predicate) {
+    /** The first result in dispatch order; late requests come last. Evaluates no further request. */
+    <T> Optional<T> first(Function<SlotRequest, Optional<T>> function) {
         return Stream.concat(onTime.values().stream(), late.values().stream())
-                .map(queue -> queue.stream().filter(predicate).findFirst())
-                .<SlotRequest>mapMulti(Optional::ifPresent)
+                .map(queue -> queue.stream()
+                        .map(function)
+                        .<T>mapMulti(Optional::ifPresent)
+                        .findFirst())
+                .<T>mapMulti(Optional::ifPresent)
                 .findFirst();
     }
 
