--- a/relay/src/main/java/org/cowslippick/relay/caller/CallerConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/CallerConnection.java
@@ -26,6 +26,9 @@
 import java.util.concurrent.TimeUnit;
 import org.cowslippick.core.error.ErrorKind;
 import org.cowslippick.core.error.Failure;
+import org.cowslippick.relay.client.ClientConnection.Activity;
+import org.cowslippick.relay.client.ClientConnection.EvictionReason;
+import org.cowslippick.relay.client.ConnectionMeter;
 import org.cowslippick.relay.log.LogLine;
 import org.cowslippick.relay.message.CallerRequest;
 import org.jboss.logging.Logger;
@@ -36,7 +39,7 @@
  */
 // A failed write shows as the close of the connection, so the write futures are ignored.
 @SuppressWarnings("FutureReturnValueIgnored")
-final class CallerConnection extends ChannelInboundHandlerAdapter {
+final class CallerConnection extends ChannelInboundHandlerAdapter implements ConnectionMeter.Client {
 
     private static final Logger LOGGER = Logger.getLogger("cowslippick.caller");
     private static final int MAXIMUM_PIPELINED_MESSAGES = 64;
@@ -44,7 +47,11 @@
     /** A closing connection reads on for this long: closing with unread bytes would reset it and lose the response. */
     private static final Duration LINGERING_CLOSE_TIMEOUT = Duration.ofMillis(500);
 
+    /** A response up to this size is read to its end although its caller reads slowly, as engines end unread ones. */
+    private static final long MAXIMUM_BUFFERED_BYTES = 1 << 20;
+
     private final CallerConnections connections;
+    private final ConnectionMeter meter;
     private final ArrayDeque<HttpObject> pipelined = new ArrayDeque<>();
     private Optional<RequestBody> body = Optional.empty();
     private Optional<HttpRequest> head = Optional.empty();
@@ -53,6 +60,7 @@
     private boolean responding;
     private boolean handlingRequest;
     private boolean closing;
+    private boolean isResponseHeldBack;
     private int unflushedResponses;
     private boolean readingHead;
     private long timeoutStartNanos;
@@ -61,13 +69,18 @@
 
     CallerConnection(CallerConnections connections) {
         this.connections = connections;
+        this.meter = new ConnectionMeter(connections.clientMemory(), connections.timer(), this);
         this.timeoutStartNanos = connections.timer().nanoTime();
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext added) {
         context = added;
-        connections.register(this);
+        added.pipeline().addFirst(meter);
+        if (!connections.tryRegister(this)) {
+            context.close();
+            return;
+        }
         connectedAtNanos = Optional.of(earliestArrivalNanos());
         connections.monitor().afterReading(() -> connectedAtNanos = Optional.empty());
     }
@@ -77,7 +90,7 @@
         readingHead = false;
         if (closing) {
             ReferenceCountUtil.release(message);
-        } else if (responding) {
+        } else if (responding || !pipelined.isEmpty() || !context.channel().isWritable()) {
             pipelined.add((HttpObject) message);
             context.channel().config().setAutoRead(pipelined.size() < MAXIMUM_PIPELINED_MESSAGES);
         } else {
@@ -99,8 +112,26 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext _context) {
-        listener.ifPresent(
-                present -> present.writabilityChanged(context.channel().isWritable()));
+        meter.update();
+        if (context.channel().isWritable()) {
+            if (isResponseHeldBack) {
+                isResponseHeldBack = false;
+                listener.ifPresent(present -> present.writabilityChanged(true));
+            }
+            readPipelined();
+        } else {
+            holdBackIfTooLarge();
+        }
+    }
+
+    /** Stops reading the response from its engine once too much of it is buffered for a slow caller. */
+    private void holdBackIfTooLarge() {
+        if (!isResponseHeldBack
+                && !context.channel().isWritable()
+                && !meter.hasRoomForResponse(MAXIMUM_BUFFERED_BYTES)) {
+            isResponseHeldBack = true;
+            listener.ifPresent(present -> present.writabilityChanged(false));
+        }
     }
 
     @Override
@@ -112,7 +143,8 @@
     }
 
     /** Restarts the timeout when bytes arrive, except within a request head, whose timeout runs from its first byte. */
-    void bytesArrived() {
+    @Override
+    public void bytesArrived() {
         if (!responding && head.isEmpty() && !readingHead) {
             readingHead = true;
             timeoutStartNanos = connections.timer().nanoTime();
@@ -126,6 +158,38 @@
         return responding || unflushedResponses > 0 || isReceiving();
     }
 
+    ConnectionMeter meter() {
+        return meter;
+    }
+
+    @Override
+    public boolean isReadingBody() {
+        return head.isPresent()
+                && !responding
+                && head.filter(HttpUtil::isContentLengthSet).isPresent();
+    }
+
+    @Override
+    public long bodyBytes() {
+        return body.map(RequestBody::reservedBytes).orElse(0);
+    }
+
+    @Override
+    public Activity activity() {
+        if (!context.channel().isWritable() || isReceiving() || !pipelined.isEmpty()) {
+            return Activity.STALLING;
+        }
+        return responding ? Activity.SERVED : Activity.IDLE;
+    }
+
+    /** Closes the connection without an answer, which frees its memory at once; the request has not been sent anywhere. */
+    @Override
+    public void evict(EvictionReason _reason) {
+        Optional<CallerListener> current = listener;
+        abort();
+        current.ifPresent(CallerListener::disconnected);
+    }
+
     private boolean isReceiving() {
         return head.isPresent() || readingHead;
     }
@@ -151,6 +215,10 @@
 
     /** Rejects the request, or closes the connection, if the header or idle timeout has passed. */
     void enforceTimeouts(long nowNanos) {
+        meter.update();
+        if (isResponseUnread(nowNanos)) {
+            context.close();
+        }
         if (responding || closing) {
             return;
         }
@@ -165,11 +233,19 @@
         }
     }
 
+    /** Whether the caller has not taken any of a buffered response for the idle timeout. */
+    private boolean isResponseUnread(long nowNanos) {
+        return meter.pendingBytes() > 0
+                && nowNanos - meter.progressNanos()
+                        > connections.limits().idleTimeout().toNanos();
+    }
+
     void write(HttpObject message) {
         if (message instanceof HttpMessage responseHead) {
             setConnectionHeader(responseHead);
         }
         context.writeAndFlush(message);
+        holdBackIfTooLarge();
     }
 
     /** Writes the end of a response; the connection then reads the next request, or closes. */
@@ -180,10 +256,14 @@
         listener = Optional.empty();
         responding = false;
         releaseBody();
+        isResponseHeldBack = false;
         timeoutStartNanos = connections.timer().nanoTime();
         unflushedResponses++;
         ChannelFuture written = context.writeAndFlush(message);
         written.addListener(_done -> unflushedResponses--);
+        if (pipelined.isEmpty()) {
+            meter.requestEnded();
+        }
         if (closing) {
             written.addListener(_done -> closeAfterLinger());
         } else if (!handlingRequest) {
@@ -211,7 +291,10 @@
     }
 
     private void readPipelined() {
-        while (!responding && !closing && !pipelined.isEmpty()) {
+        while (!responding
+                && !closing
+                && !pipelined.isEmpty()
+                && context.channel().isWritable()) {
             read(pipelined.poll());
         }
         context.channel().config().setAutoRead(pipelined.size() < MAXIMUM_PIPELINED_MESSAGES);
@@ -258,12 +341,16 @@
         if (HttpUtil.is100ContinueExpected(request)) {
             context.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
+        meter.headRead();
         body = Optional.of(new RequestBody(connections.bodyMemory(), (int)
                 HttpUtil.getContentLength(request, (long) connections.limits().maximumBodyBytes())));
     }
 
     private void appendBody(ByteBuf bytes) {
         RequestBody current = body.orElseThrow();
+        if (bytes.isReadable()) {
+            meter.bodyPartRead();
+        }
         if (current.length() + bytes.readableBytes() > connections.limits().maximumBodyBytes()) {
             rejectTooLarge();
         } else if (!current.tryAppend(bytes)) {
--- a/relay/src/main/java/org/cowslippick/relay/caller/CallerConnections.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/CallerConnections.java
@@ -8,6 +8,8 @@
 import java.util.function.Supplier;
 import org.cowslippick.core.routing.CallerLimits;
 import org.cowslippick.core.time.TimerService;
+import org.cowslippick.relay.client.ClientMemory;
+import org.cowslippick.relay.client.ConnectionLimit;
 import org.cowslippick.relay.message.RequestReader;
 import org.cowslippick.relay.time.LoopMonitor;
 
@@ -22,7 +24,9 @@
     private final LoopMonitor monitor;
     private final RequestReader reader;
     private final RequestHandler handler;
-    private final BodyMemory bodyMemory = new BodyMemory();
+    private final ClientMemory clientMemory;
+    private final ConnectionLimit connectionLimit;
+    private final BodyMemory bodyMemory = new BodyMemory(Runtime.getRuntime().maxMemory());
     private boolean draining;
 
     /** Starts the periodic timeout check. All methods must be called on the event loop of the timer. */
@@ -31,12 +35,16 @@
             TimerService timer,
             LoopMonitor monitor,
             RequestReader reader,
-            RequestHandler handler) {
+            RequestHandler handler,
+            ClientMemory clientMemory,
+            ConnectionLimit connectionLimit) {
         this.limits = limits;
         this.timer = timer;
         this.monitor = monitor;
         this.reader = reader;
         this.handler = handler;
+        this.clientMemory = clientMemory;
+        this.connectionLimit = connectionLimit;
         timer.scheduleWithFixedDelay(TIMEOUT_CHECK_PERIOD, this::checkTimeouts);
     }
 
@@ -101,12 +109,19 @@
         return handler;
     }
 
-    void register(CallerConnection connection) {
+    ClientMemory clientMemory() {
+        return clientMemory;
+    }
+
+    /** Adds a new connection; returns false if it must be closed, as there are too many. */
+    boolean tryRegister(CallerConnection connection) {
         open.add(connection);
+        return connectionLimit.tryAdd(connection.meter());
     }
 
     void unregister(CallerConnection connection) {
         open.remove(connection);
+        connectionLimit.remove(connection.meter());
     }
 
     private void checkTimeouts() {
--- a/relay/src/main/java/org/cowslippick/relay/caller/CallerServer.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/CallerServer.java
@@ -2,11 +2,8 @@
 
 import com.google.common.net.HostAndPort;
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -59,27 +56,9 @@
         SocketOptions.apply(accepted);
         CallerConnection connection = new CallerConnection(connections);
         accepted.pipeline()
-                .addLast(new InboundActivityHandler(connection))
                 .addLast(new HttpRequestDecoder(
                         MAXIMUM_REQUEST_LINE_BYTES, connections.limits().maximumHeaderBytes(), MAXIMUM_CHUNK_BYTES))
                 .addLast(new HttpResponseEncoder())
                 .addLast(connection);
     }
-
-    /** Reports inbound bytes to the connection before they are decoded, for the header timeout. */
-    private static final class InboundActivityHandler extends ChannelInboundHandlerAdapter {
-        private final CallerConnection connection;
-
-        InboundActivityHandler(CallerConnection connection) {
-            this.connection = connection;
-        }
-
-        @Override
-        public void channelRead(ChannelHandlerContext context, Object message) {
-            if (message instanceof ByteBuf bytes && bytes.isReadable()) {
-                connection.bytesArrived();
-            }
-            context.fireChannelRead(message);
-        }
-    }
 }
--- a/relay/src/main/java/org/cowslippick/relay/caller/RequestBody.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/RequestBody.java
@@ -42,6 +42,10 @@
         return true;
     }
 
+    int reservedBytes() {
+        return reservedBytes;
+    }
+
     ByteBuf content() {
         return bytes.duplicate();
     }
--- a/relay/src/main/java/org/cowslippick/relay/metrics/RelayEvent.java
+++ b/relay/src/main/java/org/cowslippick/relay/metrics/RelayEvent.java
@@ -9,6 +9,10 @@
     ENDPOINT_REFUSED("endpoint_refusals", "Requests that an endpoint refused without running them."),
     ENDPOINT_LEAVING("endpoint_leaving_notices", "Responses whose endpoint said that it leaves."),
     ENDPOINT_PAUSE("endpoint_pause_notices", "Refusals whose endpoint asked for a pause."),
+    CLIENT_EVICTED_FOR_MEMORY(
+            "clients_evicted_for_memory", "Connections closed as the memory for clients was used up."),
+    CLIENT_EVICTED_FOR_CONNECTIONS(
+            "clients_evicted_for_connections", "Connections closed as there were too many at an address."),
     STORE_ANSWERED("store_calls_answered", "Calls to the store that succeeded."),
     STORE_FAILED("store_calls_failed", "Calls to the store that failed or had no answer in time.");
 
--- a/relay/src/main/java/org/cowslippick/relay/status/StatusServer.java
+++ b/relay/src/main/java/org/cowslippick/relay/status/StatusServer.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpServerKeepAliveHandler;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.handler.timeout.WriteTimeoutHandler;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Function;
 import org.cowslippick.relay.message.SocketOptions;
@@ -30,6 +31,8 @@
 public final class StatusServer {
 
     private static final int MAXIMUM_REQUEST_BYTES = 8192;
+    private static final int ACCEPT_BACKLOG = 1024;
+    private static final int UNREAD_RESPONSE_TIMEOUT_SECONDS = 10;
 
     private final Channel listening;
 
@@ -43,20 +46,31 @@
      * @throws IllegalStateException if it cannot be bound
      */
     public static StatusServer listen(
-            HostAndPort address, EventLoopGroup loops, Function<QueryStringDecoder, StatusResponse> answers) {
+            HostAndPort address,
+            EventLoopGroup loops,
+            ClientGuard guard,
+            Function<QueryStringDecoder, StatusResponse> answers) {
         ChannelFuture binding = new ServerBootstrap()
                 .group(loops)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel accepted) {
                         SocketOptions.apply(accepted);
+                        StatusConnection connection = new StatusConnection(accepted, guard);
+                        if (!guard.connections().tryAdd(connection.meter())) {
+                            accepted.close();
+                            return;
+                        }
                         accepted.pipeline()
+                                .addLast(connection.meter())
+                                .addLast(new WriteTimeoutHandler(UNREAD_RESPONSE_TIMEOUT_SECONDS))
                                 .addLast(new HttpServerCodec())
                                 .addLast(new HttpServerKeepAliveHandler())
                                 .addLast(new HttpObjectAggregator(MAXIMUM_REQUEST_BYTES))
-                                .addLast(new StatusHandler(answers));
+                                .addLast(new StatusHandler(answers, connection));
                     }
                 })
                 .bind(address.getHost(), address.getPort())
@@ -74,9 +88,21 @@
 
     private static final class StatusHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final Function<QueryStringDecoder, StatusResponse> answers;
+        private final StatusConnection connection;
 
-        StatusHandler(Function<QueryStringDecoder, StatusResponse> answers) {
+        StatusHandler(Function<QueryStringDecoder, StatusResponse> answers, StatusConnection connection) {
             this.answers = answers;
+            this.connection = connection;
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            context.channel().config().setAutoRead(context.channel().isWritable());
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext _context) {
+            connection.closed();
         }
 
         @Override
@@ -93,6 +119,7 @@
                     .set(HttpHeaderNames.CONTENT_TYPE, statusResponse.contentType())
                     .set(HttpHeaderNames.CONTENT_LENGTH, body.length);
             context.writeAndFlush(response);
+            connection.answered();
         }
 
         @Override
--- a/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
@@ -37,6 +37,8 @@
 import org.cowslippick.core.world.ServiceName;
 import org.cowslippick.relay.caller.CallerConnections;
 import org.cowslippick.relay.caller.CallerServer;
+import org.cowslippick.relay.client.ClientMemory;
+import org.cowslippick.relay.client.ConnectionLimit;
 import org.cowslippick.relay.crash.CrashDetector;
 import org.cowslippick.relay.endpoint.EndpointConnections;
 import org.cowslippick.relay.forwarding.ForwardingContext;
@@ -78,6 +80,8 @@
             "X-Last-Event",
             ImmutableSet.of("X-Organisation", "X-Expect", "X-Hold"));
 
+    private static final long CLIENT_MEMORY_BYTES = 80L << 20;
+    private static final int CLIENT_CONNECTIONS = 1_000;
     private static final ServiceName SERVICE = new ServiceName("model");
     private static final Region REGION = new Region("asturias");
     private static final FailureDomain DOMAIN = new FailureDomain("oviedo", REGION);
@@ -111,8 +115,14 @@
                 new SharedQuotas(timer, new QuotaTolerance(Duration.ofSeconds(8), 0.1, 0)),
                 new SharedRetryBudget(0.2, 50),
                 metrics));
-        this.callers =
-                new CallerConnections(() -> table().limits(), timer, monitor, new RequestReader(NAMES), forwarder);
+        this.callers = new CallerConnections(
+                () -> table().limits(),
+                timer,
+                monitor,
+                new RequestReader(NAMES),
+                forwarder,
+                new ClientMemory(CLIENT_MEMORY_BYTES, timer, new RelayMetrics()),
+                new ConnectionLimit(CLIENT_CONNECTIONS, timer, new RelayMetrics()));
         this.address = HostAndPort.fromParts("127.0.0.1", freePort());
         this.server = CallerServer.listen(address, loops, callers);
         server.bindFuture().sync();
--- a/relay/src/test/java/org/cowslippick/relay/caller/CallerConnectionTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/caller/CallerConnectionTest.java
@@ -29,9 +29,12 @@
 import org.cowslippick.core.error.Failure;
 import org.cowslippick.core.routing.CallerLimits;
 import org.cowslippick.core.time.TimerService;
+import org.cowslippick.relay.client.ClientMemory;
+import org.cowslippick.relay.client.ConnectionLimit;
 import org.cowslippick.relay.message.CallerRequest;
 import org.cowslippick.relay.message.HeaderNames;
 import org.cowslippick.relay.message.RequestReader;
+import org.cowslippick.relay.metrics.RelayMetrics;
 import org.cowslippick.relay.time.EventLoopTimerService;
 import org.cowslippick.relay.time.LoopMonitor;
 import org.junit.jupiter.api.AfterEach;
@@ -68,12 +71,16 @@
     private final NioEventLoopGroup loops = new NioEventLoopGroup(1);
     private final TimerService timer = new EventLoopTimerService(loops.next());
     private final HeldWrites writes = new HeldWrites();
+    private static final long MEMORY_BYTES = 80L << 20;
+    private static final int CONNECTIONS = 1_000;
     private final CallerConnections connections = new CallerConnections(
             () -> CallerLimits.DEFAULT,
             timer,
             new LoopMonitor((SingleThreadEventLoop) loops.next(), timer),
             new RequestReader(NAMES),
-            this::handle);
+            this::handle,
+            new ClientMemory(MEMORY_BYTES, timer, new RelayMetrics()),
+            new ConnectionLimit(CONNECTIONS, timer, new RelayMetrics()));
     private final CallerConnection connection = new CallerConnection(connections);
     private final EmbeddedChannel channel = new EmbeddedChannel(writes, connection);
 
