--- a/relay/src/main/java/org/cowslippick/relay/endpoint/ResponseDefects.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/ResponseDefects.java
@@ -19,7 +19,17 @@
         if (message.decoderResult().isFailure()) {
             return Optional.of(String.valueOf(message.decoderResult().cause().getMessage()));
         }
-        return message instanceof HttpResponse head ? findAmbiguity(head, attemptIdHeader, isReused) : Optional.empty();
+        if (!(message instanceof HttpResponse head)) {
+            return Optional.empty();
+        }
+        return findUnknownStatus(head).or(() -> findAmbiguity(head, attemptIdHeader, isReused));
+    }
+
+    /** A status of no class (RFC 9110, section 15) does not tell a caller whether the request has run. */
+    private static Optional<String> findUnknownStatus(HttpResponse head) {
+        return head.status().codeClass() == HttpStatusClass.UNKNOWN
+                ? Optional.of("status " + head.status().code())
+                : Optional.empty();
     }
 
     /** A provisional response needs no id, as it is skipped; nor does the first failure, before which none can be late. */
