--- a/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
@@ -283,13 +283,15 @@
             skippingResponse = false;
             return;
         }
-        // The decoder also ends such a response after a reset, even if only a failed write has shown it.
-        if (endsWithConnection && !decoder.hasInputEnded()) {
+        boolean requestFlushed = bodyWriter.filter(BodyWriter::isFlushed).isPresent();
+        // The decoder also ends such a response after a reset, even if only a failed write has shown it. An end before
+        // the
+        // whole request is written is no sign of a whole response either.
+        if (endsWithConnection && !(decoder.hasInputEnded() && requestFlushed)) {
             return;
         }
         Optional<ResponseListener> current = listener;
         listener = Optional.empty();
-        boolean requestFlushed = bodyWriter.filter(BodyWriter::isFlushed).isPresent();
         bodyWriter = Optional.empty();
         int bytesBehind = decoder.undecodedBytes();
         if (bytesBehind > 0) {
--- a/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnections.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnections.java
@@ -37,6 +37,12 @@
 
     private static final Duration EVICTION_PERIOD = Duration.ofMillis(500);
 
+    /**
+     * The kernel doubles it, and else takes up to 4 MB, so that a long upload would count as written that the endpoint has
+     * hardly begun to read. Between regions, 42 Mbit/s and a round trip of 60 ms take 315 KB.
+     */
+    private static final int SEND_BUFFER_BYTES = 256 << 10;
+
     /** The ids of endpoints that a slot request names. */
     private static final int MAXIMUM_CONNECTED_ENDPOINTS = 8;
 
@@ -135,6 +141,7 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) CONNECT_TIMEOUT.toMillis())
                 .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                 .handler(handler);
     }
 
--- a/relay/src/test/java/org/cowslippick/relay/ScriptedEngine.java
+++ b/relay/src/test/java/org/cowslippick/relay/ScriptedEngine.java
@@ -24,6 +24,9 @@
     /** At the end of a response: reset the connection. */
     static final String RESET = "<reset>";
 
+    /** At the end of a response: end the output in order, and keep the connection open without reading. */
+    static final String END = "<end>";
+
     /** Separates a response from bytes that follow it repeatedly until the relay closes the connection. */
     static final String ENDLESS = "<endless>";
 
@@ -35,6 +38,9 @@
     /** Gives the relay time to read the response, as a reset discards unread bytes. */
     private static final long RESET_DELAY_MILLISECONDS = 50;
 
+    /** Gives the relay time to take the end of the output for the end of the response, before unread bytes cause a reset. */
+    private static final long END_DELAY_MILLISECONDS = 200;
+
     /** The time to process a prompt before the answer begins. */
     private static final long CRASH_DELAY_MILLISECONDS = 350;
 
@@ -57,8 +63,8 @@
 
     private volatile String crashText = "";
     private volatile boolean repeatsResponses;
-    private volatile boolean respondsBeforeBody;
     private volatile boolean readsNothing;
+    private volatile int maximumBodyBytesRead = Integer.MAX_VALUE;
 
     ScriptedEngine(String... script) throws IOException {
         this.serverSocket = new ServerSocket();
@@ -90,7 +96,13 @@
 
     /** Makes the engine respond to the head of a request, and leave the body unread. */
     ScriptedEngine withResponsesBeforeBody() {
-        respondsBeforeBody = true;
+        maximumBodyBytesRead = 0;
+        return this;
+    }
+
+    /** Makes the engine respond after so many bytes of the body of a request, and leave the others unread. */
+    ScriptedEngine withResponsesAfterBodyBytes(int count) {
+        maximumBodyBytesRead = count;
         return this;
     }
 
@@ -181,16 +193,23 @@
         }
         boolean closes = script.endsWith(CLOSE);
         boolean resets = script.endsWith(RESET);
-        String text = script.replace(CLOSE, "").replace(RESET, "").replace("{id}", header(head, "X-Attempt"));
+        String text = script.replace(CLOSE, "")
+                .replace(RESET, "")
+                .replace(END, "")
+                .replace("{id}", header(head, "X-Attempt"));
         write(socket, earlier + text);
         if (repeatsResponses) {
             earlier.append(text);
         }
+        if (script.endsWith(END)) {
+            socket.shutdownOutput();
+            delay(END_DELAY_MILLISECONDS);
+        }
         if (resets) {
             delay(RESET_DELAY_MILLISECONDS);
             socket.setSoLinger(true, 0);
         }
-        return !closes && !resets;
+        return !closes && !resets && !script.endsWith(END);
     }
 
     private void write(Socket socket, String text) throws IOException {
@@ -237,7 +256,7 @@
         int length = 0;
         for (String line = reader.readLine(); line != null; line = reader.readLine()) {
             if (line.isEmpty()) {
-                for (int index = 0; index < length && !respondsBeforeBody; index++) {
+                for (int index = 0; index < Math.min(length, maximumBodyBytesRead); index++) {
                     head.append((char) reader.read());
                 }
                 return head.toString();
