--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/WaitingRequests.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/WaitingRequests.java
@@ -25,6 +25,8 @@
             .thenComparing(request -> request.key().instance().value())
             .thenComparingLong(request -> request.key().number());
 
+    private static final int MAXIMUM_CONSIDERED = 64;
+
     private final Map<SlotKey, SlotRequest> requests = new HashMap<>();
     private final NavigableMap<Urgency, FairQueue<SlotRequest>> onTime = new TreeMap<>();
     private final NavigableMap<Urgency, FairQueue<SlotRequest>> late = new TreeMap<>();
@@ -89,10 +91,14 @@
         return late.values().stream().flatMap(FairQueue::stream);
     }
 
-    /** The first result in dispatch order; late requests come last. Evaluates no further request. */
+    /**
+     * The first result in dispatch order; late requests come last. Evaluates no further request, and a limited number of each
+     * urgency, so that a step takes little time if the free endpoints suit none of many waiting requests.
+     */
     <T> Optional<T> first(Function<SlotRequest, Optional<T>> function) {
         return Stream.concat(onTime.values().stream(), late.values().stream())
                 .map(queue -> queue.stream()
+                        .limit(MAXIMUM_CONSIDERED)
                         .map(function)
                         .<T>mapMulti(Optional::ifPresent)
                         .findFirst())
