--- a/scheduler/src/main/java/org/cowslippick/scheduler/rollout/VersionGate.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/rollout/VersionGate.java
@@ -40,6 +40,11 @@
     private Optional<RolloutPlan> plan = Optional.empty();
     private long planAtNanos;
     private boolean isEnabled;
+    private boolean isOwner = true;
+
+    /** Whether the roll-out is completed and its old endpoints are gone. */
+    private boolean isDone;
+
     private long requests;
     private long exposure;
 
@@ -60,6 +65,11 @@
         isEnabled = true;
     }
 
+    /** Sets whether the queue is that of the pool's owner; only that one uses the slack of the bound. */
+    public void setOwner(boolean owner) {
+        isOwner = owner;
+    }
+
     public boolean isEnabled() {
         return isEnabled;
     }
@@ -76,6 +86,7 @@
             credits.clear();
             requests = 0;
             exposure = 0;
+            isDone = false;
         }
         plan = Optional.of(received);
         planAtNanos = nowNanos;
@@ -115,6 +126,13 @@
         probed = ids.stream()
                 .limit(Math.max(1, (long) Math.ceil(share * ids.size())))
                 .collect(ImmutableSet.toImmutableSet());
+        isDone = isDone || isCompletedEverywhere();
+    }
+
+    private boolean isCompletedEverywhere() {
+        return plan.filter(present -> present.stage() == RolloutStage.COMPLETED)
+                .filter(_present -> endpoints.stream().allMatch(this::isTarget))
+                .isPresent();
     }
 
     /** Whether some endpoints may not be used by some requests now. */
@@ -129,7 +147,8 @@
     }
 
     private boolean isPlanInForce() {
-        return plan.filter(present -> present.stage() != RolloutStage.WITHDRAWN).isPresent();
+        return plan.filter(present -> present.stage() != RolloutStage.WITHDRAWN && !isDone)
+                .isPresent();
     }
 
     /** Whether no request may use the endpoint now. */
@@ -182,8 +201,8 @@
     }
 
     private boolean allowsAnotherExposure() {
-        return plan.filter(present ->
-                        exposure + 1 <= BOUND_MARGIN * (present.exposureShare() * requests + present.slack()))
+        return plan.filter(present -> exposure + 1
+                        <= BOUND_MARGIN * (present.exposureShare() * requests + (isOwner ? present.slack() : 0)))
                 .isPresent();
     }
 
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointLoad.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointLoad.java
@@ -250,7 +250,7 @@
         return nowNanos - failedAtNanos > FAILURE_RETENTION_NANOS ? 0 : failureShare;
     }
 
-    private static double work(SlotRequest request) {
+    static double work(SlotRequest request) {
         return request.promptTokens() == 0 ? 1 : request.promptTokens() + OVERHEAD_TOKENS;
     }
 
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointPool.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointPool.java
@@ -3,12 +3,16 @@
 import com.google.common.collect.ImmutableCollection;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import java.time.Duration;
+import java.util.Arrays;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.ToLongFunction;
 import org.cowslippick.core.routing.LiveEndpoint;
+import org.cowslippick.scheduler.rollout.VersionGate;
 
 /** The endpoints of one slot queue: which of them may be used now, and which is the best for a request. */
 final class EndpointPool {
@@ -22,12 +26,22 @@
     /** The cost of pausing the streams of an endpoint for too long. */
     private static final long PAUSE_PENALTY_NANOS = Duration.ofMillis(500).toNanos();
 
+    private static final ImmutableSet<VersionGate.Choice> EVERY_CHOICE =
+            Sets.immutableEnumSet(EnumSet.allOf(VersionGate.Choice.class));
+
     private final Map<String, EndpointLoad> endpoints = new HashMap<>();
+    private final VersionGate versions = new VersionGate();
     private boolean isOwner = true;
 
     /** Sets whether this instance is the designated owner, which alone uses endpoints with a rate limit. */
     void setOwner(boolean owner) {
         isOwner = owner;
+        versions.setOwner(owner);
+    }
+
+    /** Which versions requests may use during a roll-out. */
+    VersionGate versions() {
+        return versions;
     }
 
     Optional<EndpointLoad> get(String id) {
@@ -41,6 +55,7 @@
         current.forEach(endpoint -> endpoints
                 .computeIfAbsent(endpoint.id(), _id -> new EndpointLoad(endpoint, nowNanos))
                 .setEndpoint(endpoint));
+        versions.setEndpoints(current, nowNanos);
     }
 
     /** Whether there is no endpoint that takes new requests, now or later. */
@@ -65,13 +80,26 @@
         return false;
     }
 
+    /** The choices of versions for which an endpoint is open; the caller has checked {@link #hasOpen}. */
+    ImmutableSet<VersionGate.Choice> placeable(long nowNanos) {
+        if (!versions.isRestricting(nowNanos)) {
+            return EVERY_CHOICE;
+        }
+        return Arrays.stream(VersionGate.Choice.values())
+                .filter(choice -> endpoints.values().stream()
+                        .anyMatch(load -> versions.isEverAllowed(load.endpoint(), choice) && isOpen(load, nowNanos)))
+                .collect(Sets.toImmutableEnumSet());
+    }
+
     private boolean isOpen(EndpointLoad load, long nowNanos) {
         return isAvailable(load, nowNanos) && load.freeSlots() > 0 && load.nanosUntilAllowed(nowNanos) == 0;
     }
 
     /** Whether this queue may use the endpoint, now or when a slot and its rate limit allow. */
     private boolean isAvailable(EndpointLoad load, long nowNanos) {
-        return load.isUsable(nowNanos) && (isOwner || !load.isRateLimited());
+        return load.isUsable(nowNanos)
+                && (isOwner || !load.isRateLimited())
+                && !versions.isClosed(load.endpoint(), nowNanos);
     }
 
     /** The shortest time to first token on any endpoint, if the request need not wait for a slot. */
@@ -89,13 +117,24 @@
         return shortest == Long.MAX_VALUE ? 0 : shortest;
     }
 
+    /** The cheapest endpoint that the request may use now; during a roll-out, of the version that it should use. */
     Optional<EndpointLoad> cheapest(SlotRequest request, long nowNanos) {
+        VersionGate.Choice choice = versions.choose(request.routeKey(), nowNanos);
+        return cheapest(request, choice, true, nowNanos)
+                .or(() -> choice == VersionGate.Choice.TARGET_OR_OLD
+                        ? cheapest(request, choice, false, nowNanos)
+                        : Optional.empty());
+    }
+
+    private Optional<EndpointLoad> cheapest(
+            SlotRequest request, VersionGate.Choice choice, boolean isFirst, long nowNanos) {
         EndpointLoad cheapest = null;
         long lowestCost = Long.MAX_VALUE;
         for (EndpointLoad load : endpoints.values()) {
             if (isOpen(load, nowNanos)
                     && load.accepts(request.key().instance(), nowNanos)
-                    && !request.excludedEndpoints().contains(load.endpoint().id())) {
+                    && !request.excludedEndpoints().contains(load.endpoint().id())
+                    && versions.isAllowed(load.endpoint(), choice, isFirst)) {
                 long cost = cost(load, request, nowNanos);
                 if (cheapest == null || cost < lowestCost) {
                     cheapest = load;
@@ -115,6 +154,9 @@
     }
 
     boolean isAnyOpenTo(SlotRequest request, long nowNanos) {
+        if (versions.isRestricting(nowNanos)) {
+            return cheapest(request, nowNanos).isPresent();
+        }
         return endpoints.values().stream()
                 .anyMatch(load ->
                         isOpen(load, nowNanos) && load.accepts(request.key().instance(), nowNanos));
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableCollection;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -10,6 +11,7 @@
 import java.util.stream.Stream;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.world.InstanceName;
+import org.cowslippick.scheduler.rollout.VersionGate;
 
 /**
  * The slots of a pool's endpoints and the requests that wait for one. An endpoint is chosen when a slot becomes free,
@@ -45,6 +47,11 @@
         endpoints.setOwner(owner);
     }
 
+    /** Which versions requests may use during a roll-out. */
+    public VersionGate versions() {
+        return endpoints.versions();
+    }
+
     /** Records what an endpoint said about its rate limit. */
     public ImmutableList<SlotDecision> recordRateLimit(String endpoint, EndpointRateLimit limit, long nowNanos) {
         endpoints.get(endpoint).ifPresent(load -> load.recordRateLimit(limit, nowNanos));
@@ -83,6 +90,7 @@
     public ImmutableList<SlotDecision> offer(SlotRequest offered, long nowNanos) {
         forgetExpired(nowNanos);
         SlotRequest request = refused.matchRetry(offered, nowNanos);
+        recordForVersions(request);
         if (endpoints.isWithoutTakers()) {
             refused.add(request, nowNanos);
             return refusal(request, SlotDecision.Reason.NO_ENDPOINT, NO_ENDPOINT_RETRY_AFTER.toNanos());
@@ -102,6 +110,13 @@
         return step(nowNanos);
     }
 
+    /** Counts each attempt of a caller once, however many endpoints it is sent to. */
+    private void recordForVersions(SlotRequest request) {
+        if (request.excludedEndpoints().isEmpty()) {
+            versions().recordRequest(request.routeKey());
+        }
+    }
+
     /** Removes a waiting request without a decision. */
     public void withdraw(SlotKey key) {
         waiting.remove(key);
@@ -109,6 +124,7 @@
 
     /** Records that the first part of the answer arrived. */
     public void recordAnswerStart(SlotKey key, long nowNanos) {
+        versions().recordAnswerStart(key, nowNanos);
         Optional.ofNullable(running.get(key)).ifPresent(entry -> {
             entry.load().recordAnswerStart(entry.request(), nowNanos);
             endPause(entry.load(), key.instance(), nowNanos);
@@ -124,8 +140,16 @@
 
     /** Records the end of a dispatch, which frees its slot. */
     public ImmutableList<SlotDecision> recordEnd(SlotKey key, AnswerOutcome outcome, long nowNanos) {
-        Optional.ofNullable(running.remove(key))
-                .ifPresent(entry -> entry.load().end(entry.request(), outcome, nowNanos));
+        Optional.ofNullable(running.remove(key)).ifPresent(entry -> {
+            entry.load().end(entry.request(), outcome, nowNanos);
+            versions()
+                    .recordEnd(
+                            key,
+                            outcome.failureWeight() > 0,
+                            outcome != AnswerOutcome.UNREACHABLE,
+                            entry.request().answerTokens(),
+                            nowNanos);
+        });
         return step(nowNanos);
     }
 
@@ -136,6 +160,7 @@
                 .filter(_load -> !running.containsKey(request.key()))
                 .ifPresent(load -> {
                     load.adopt(request, nowNanos);
+                    versions().adopt(request.key(), load.endpoint(), request.routeKey());
                     running.put(request.key(), new Running(request, load));
                 });
     }
@@ -150,7 +175,10 @@
         ImmutableList.copyOf(running.keySet()).stream()
                 .filter(key -> key.instance().equals(instance))
                 .map(running::remove)
-                .forEach(entry -> entry.load().end(entry.request(), AnswerOutcome.SOUND, nowNanos));
+                .forEach(entry -> {
+                    entry.load().end(entry.request(), AnswerOutcome.SOUND, nowNanos);
+                    versions().recordEnd(entry.request().key(), false, false, 0, nowNanos);
+                });
         return step(nowNanos);
     }
 
@@ -202,6 +230,7 @@
         expired.forEach(entry -> {
             running.remove(entry.request().key());
             entry.load().forget(entry.request());
+            versions().recordEnd(entry.request().key(), false, false, 0, nowNanos);
         });
     }
 
@@ -224,8 +253,9 @@
                 .takeWhile(request -> isLate(request, nowNanos))
                 .toList()
                 .forEach(waiting::markLate);
+        ImmutableSet<VersionGate.Choice> placeable = endpoints.placeable(nowNanos);
         return Stream.concat(waiting.onTime(), waiting.late())
-                .filter(request -> canBePlaced(request, nowNanos))
+                .filter(request -> canBePlaced(request, placeable, nowNanos))
                 .findFirst();
     }
 
@@ -235,9 +265,10 @@
                 && nowNanos + endpoints.fastestNanos(request, nowNanos) - request.onTimeUntilNanos() > 0;
     }
 
-    private boolean canBePlaced(SlotRequest request, long nowNanos) {
+    private boolean canBePlaced(SlotRequest request, ImmutableSet<VersionGate.Choice> placeable, long nowNanos) {
         return (request.excludedEndpoints().isEmpty() && !notices.hasPauses())
-                || endpoints.cheapest(request, nowNanos).isPresent();
+                ? placeable.contains(versions().choose(request.routeKey(), nowNanos))
+                : endpoints.cheapest(request, nowNanos).isPresent();
     }
 
     private SlotDecision grant(SlotRequest request, long nowNanos) {
@@ -245,6 +276,8 @@
         long predicted = load.predictedNanos(request);
         waiting.remove(request.key());
         load.start(request, nowNanos);
+        versions()
+                .recordStart(request.key(), load.endpoint(), request.routeKey(), EndpointLoad.work(request), nowNanos);
         running.put(request.key(), new Running(request, load));
         dispatchRate.recordDispatch(nowNanos);
         return new SlotDecision.Granted(request, load.endpoint(), predicted, load.rateLimit());
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotRequest.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotRequest.java
@@ -1,6 +1,7 @@
 package org.cowslippick.scheduler.slot;
 
 import com.google.common.collect.ImmutableSet;
+import java.util.Objects;
 import java.util.Optional;
 import org.cowslippick.core.world.OrganisationName;
 
@@ -80,6 +81,11 @@
                 ImmutableSet.of());
     }
 
+    /** Equal for the requests of one route, and different for routes of another rank, pause or kind of work. */
+    int routeKey() {
+        return Objects.hash(routeRank, maximumPauseNanos, promptTokens > 0, answerTokens > 0);
+    }
+
     /** Returns this request as a caller's retry, with the on-time limit of the first attempt. */
     SlotRequest asCallerRetry(long originalOnTimeUntilNanos) {
         return new SlotRequest(
