--- a/relay/src/main/java/org/cowslippick/relay/slot/LocalSlotQueues.java
+++ b/relay/src/main/java/org/cowslippick/relay/slot/LocalSlotQueues.java
@@ -10,6 +10,10 @@
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.time.TimerService;
 import org.cowslippick.core.world.InstanceName;
+import org.cowslippick.core.world.ServiceName;
+import org.cowslippick.scheduler.rollout.RolloutPlan;
+import org.cowslippick.scheduler.rollout.RolloutTotals;
+import org.cowslippick.scheduler.rollout.VersionGate;
 import org.cowslippick.scheduler.slot.AnswerOutcome;
 import org.cowslippick.scheduler.slot.EndpointNotice;
 import org.cowslippick.scheduler.slot.EndpointRateLimit;
@@ -29,6 +33,7 @@
     private final TimerService timer;
     private final Map<SlotPool, SlotQueue> queues = new HashMap<>();
     private final Map<SlotKey, SlotListener> listeners = new HashMap<>();
+    private final VersionPlans versionPlans = new VersionPlans();
     private Predicate<SlotPool> owns = _pool -> true;
     private boolean advanceScheduled;
     private ImmutableListMultimap<SlotPool, LiveEndpoint> endpoints = ImmutableListMultimap.of();
@@ -42,6 +47,34 @@
         owns = ownership;
     }
 
+    /** Makes the queues count responses by version and apply the plans of roll-outs. */
+    public void enableRollouts() {
+        versionPlans.enable();
+        queues.forEach((pool, queue) -> versionPlans.addTo(pool.service(), queue.versions(), timer.nanoTime()));
+    }
+
+    /** Applies the plan of a roll-out, unless it is older than the one in force; returns whether it is new. */
+    public boolean applyPlan(RolloutPlan plan) {
+        return versionPlans.apply(plan, versions(plan.service()), timer.nanoTime());
+    }
+
+    /** The plan of the service's roll-out, if any. */
+    public Optional<RolloutPlan> plan(ServiceName service) {
+        return versionPlans.plan(service);
+    }
+
+    /** What the queues of the service have counted since the order of its roll-out. */
+    public RolloutTotals versionTotals(ServiceName service) {
+        return VersionPlans.totals(versions(service));
+    }
+
+    private ImmutableList<VersionGate> versions(ServiceName service) {
+        return queues.entrySet().stream()
+                .filter(entry -> entry.getKey().service().equals(service))
+                .map(entry -> entry.getValue().versions())
+                .collect(ImmutableList.toImmutableList());
+    }
+
     /** Records what an endpoint of the pool said about its rate limit. */
     public void recordRateLimit(SlotPool pool, String endpoint, EndpointRateLimit limit) {
         deliver(queue(pool).recordRateLimit(endpoint, limit, timer.nanoTime()));
@@ -144,11 +177,17 @@
     }
 
     private SlotQueue queue(SlotPool pool) {
-        SlotQueue queue = queues.computeIfAbsent(pool, _pool -> new SlotQueue());
+        SlotQueue queue = queues.computeIfAbsent(pool, this::newQueue);
         queue.setOwner(owns.test(pool));
         return queue;
     }
 
+    private SlotQueue newQueue(SlotPool pool) {
+        SlotQueue queue = new SlotQueue();
+        versionPlans.addTo(pool.service(), queue.versions(), timer.nanoTime());
+        return queue;
+    }
+
     private void deliver(ImmutableList<SlotDecision> decisions) {
         decisions.forEach(decision -> Optional.ofNullable(
                         listeners.remove(decision.request().key()))
--- /dev/null
+++ b/relay/src/main/java/org/cowslippick/relay/slot/VersionPlans.java
@@ -0,0 +1,48 @@
+package org.cowslippick.relay.slot;
+
+import com.google.common.collect.ImmutableCollection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.cowslippick.core.world.ServiceName;
+import org.cowslippick.scheduler.rollout.RolloutPlan;
+import org.cowslippick.scheduler.rollout.RolloutTotals;
+import org.cowslippick.scheduler.rollout.VersionGate;
+
+/** The plans of roll-outs that the queues of this instance apply, also those that are created later. */
+final class VersionPlans {
+
+    private final Map<ServiceName, RolloutPlan> plans = new HashMap<>();
+    private boolean isEnabled;
+
+    void enable() {
+        isEnabled = true;
+    }
+
+    /** Sets up the gate of a new queue, which learns of the plan as late as its instance did. */
+    void addTo(ServiceName service, VersionGate gate, long nowNanos) {
+        if (isEnabled) {
+            gate.enable(nowNanos);
+            plan(service).ifPresent(plan -> gate.apply(plan, nowNanos));
+        }
+    }
+
+    /** Applies a plan, unless it is older than the one in force; returns whether it is in force now and was not. */
+    boolean apply(RolloutPlan received, ImmutableCollection<VersionGate> gates, long nowNanos) {
+        RolloutPlan before = plans.get(received.service());
+        if (before != null && !received.replaces(before)) {
+            return false;
+        }
+        plans.put(received.service(), received);
+        gates.forEach(gate -> gate.apply(received, nowNanos));
+        return !received.equals(before);
+    }
+
+    Optional<RolloutPlan> plan(ServiceName service) {
+        return Optional.ofNullable(plans.get(service));
+    }
+
+    static RolloutTotals totals(ImmutableCollection<VersionGate> gates) {
+        return gates.stream().map(VersionGate::totals).reduce(RolloutTotals.NONE, RolloutTotals::plus);
+    }
+}
--- a/relay/src/test/java/org/cowslippick/relay/peer/SlotFleet.java
+++ b/relay/src/test/java/org/cowslippick/relay/peer/SlotFleet.java
@@ -23,6 +23,7 @@
 import org.cowslippick.relay.state.EndpointDirectory;
 import org.cowslippick.relay.state.InstanceDirectory;
 import org.cowslippick.relay.state.RoutingState;
+import org.cowslippick.scheduler.rollout.RolloutBounds;
 import org.cowslippick.scheduler.slot.AnswerOutcome;
 import org.cowslippick.scheduler.slot.SlotDecision;
 import org.cowslippick.scheduler.slot.SlotPool;
@@ -97,6 +98,13 @@
         restarted.start();
     }
 
+    /** Lets an instance take part in roll-outs; a restarted one has to be given its part again. */
+    RolloutDeciders joinRollouts(int number, RolloutBounds bounds, RolloutStore store) {
+        Node node = nodes.get(number);
+        return new RolloutDeciders(
+                node.known, node.membership, node.localQueues, timer, network.join(name(number)), bounds, store);
+    }
+
     /** Gives all instances a list of endpoints of the store. */
     void register(ImmutableList<LiveEndpoint> registered, long revision) {
         nodes.forEach(node -> node.directory.replace(registered, revision));
@@ -123,11 +131,13 @@
         private final LocalSlotQueues localQueues;
         private final EndpointDirectory directory;
         private final PoolOwners owners;
+        private final FleetMembership membership;
+        private final InstanceDirectory known;
         private boolean isStopped;
 
         private Node(int number) {
             this.number = number;
-            InstanceDirectory known = new InstanceDirectory(instance(number));
+            known = new InstanceDirectory(instance(number));
             known.setSelfServing(true);
             known.replace(
                     IntStream.range(0, instances)
@@ -137,7 +147,7 @@
                     1);
             localQueues = new LocalSlotQueues(timer);
             directory = new EndpointDirectory(timer, localQueues::replaceEndpoints);
-            FleetMembership membership = new FleetMembership(
+            membership = new FleetMembership(
                     known,
                     new Incarnation(number),
                     timer,
@@ -170,6 +180,13 @@
             }
         }
 
+        /** Ends a grant by a connection that breaks. */
+        void broken(SlotDecision.Granted grant) {
+            if (!isStopped) {
+                broker.release(grant.request().key(), AnswerOutcome.BROKEN);
+            }
+        }
+
         /** Ends a grant with a refusal of the endpoint. */
         void notRun(SlotDecision.Granted grant) {
             if (!isStopped) {
--- a/scheduler/src/main/java/org/cowslippick/scheduler/rollout/RolloutDecision.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/rollout/RolloutDecision.java
@@ -103,10 +103,10 @@
         return position;
     }
 
-    /** Sets the live instances, which all must confirm the end of the old version, and the number of pools. */
-    public void setMembers(ImmutableSet<String> live, int poolCount) {
+    /** Sets the instances, which all must confirm the end of the old version, and the number of pools. */
+    public void setMembers(ImmutableSet<String> registered, int poolCount) {
         members.clear();
-        members.addAll(live);
+        members.addAll(registered);
         pools = Math.max(1, poolCount);
     }
 
@@ -225,6 +225,11 @@
         }
     }
 
+    /** Ends the roll-out because its order was removed. */
+    public void withdraw() {
+        enter(RolloutStage.WITHDRAWN, "order-removed");
+    }
+
     private void enter(RolloutStage next, String cause) {
         stage = next;
         reason = cause;
@@ -258,7 +263,7 @@
         return owner.isRateKnown() && arriving <= room;
     }
 
-    /** Whether all live instances apply the current plan and have run nothing on the old version for a while. */
+    /** Whether all instances apply the current plan and have run nothing on the old version for a while. */
     private boolean isConfirmedQuiet(long nowNanos) {
         boolean isLostBusy = owners.entrySet().stream()
                 .filter(entry -> !members.contains(entry.getKey()))
--- a/scheduler/src/main/java/org/cowslippick/scheduler/rollout/RolloutPlan.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/rollout/RolloutPlan.java
@@ -21,8 +21,16 @@
         double slack,
         long position) {
 
-    /** Whether this plan replaces the other one; a final stage is only replaced by another order. */
+    /** Whether this plan replaces the other one. What was rolled back stays so until its order is removed. */
     public boolean replaces(RolloutPlan other) {
-        return order != other.order ? order > other.order : stage.isFinal() || !other.stage.isFinal();
+        if (order != other.order) {
+            return order > other.order;
+        }
+        return switch (other.stage) {
+            case PROBE, CANARY, CUTOVER, SEALED -> true;
+            case COMPLETED -> stage == RolloutStage.COMPLETED || stage == RolloutStage.WITHDRAWN;
+            case ROLLED_BACK -> stage == RolloutStage.ROLLED_BACK || stage == RolloutStage.WITHDRAWN;
+            case WITHDRAWN -> stage == RolloutStage.WITHDRAWN;
+        };
     }
 }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/rollout/VersionGate.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/rollout/VersionGate.java
@@ -61,8 +61,9 @@
     }
 
     /** Makes the gate count, and hold back new versions; without this call it lets everything pass. */
-    public void enable() {
+    public void enable(long nowNanos) {
         isEnabled = true;
+        setEndpoints(endpoints, nowNanos);
     }
 
     /** Sets whether the queue is that of the pool's owner; only that one uses the slack of the bound. */
@@ -83,6 +84,7 @@
                 .filter(order -> order == received.order())
                 .isEmpty()) {
             meter.reset();
+            runs.ignoreRunning();
             credits.clear();
             requests = 0;
             exposure = 0;
@@ -96,10 +98,10 @@
 
     /** Takes the endpoints of the queue; a version that appears beside others is held back for a moment. */
     public void setEndpoints(ImmutableCollection<LiveEndpoint> current, long nowNanos) {
+        endpoints = current;
         if (!isEnabled) {
             return;
         }
-        endpoints = current;
         if (knownVersions.isEmpty()) {
             current.stream()
                     .min(Comparator.comparingLong(LiveEndpoint::startedAtMilliseconds))
@@ -162,6 +164,11 @@
         return isTarget(endpoint) ? shareNow(nowNanos) == 0 || !probed.contains(endpoint.id()) : isTargetOnly(nowNanos);
     }
 
+    /** Whether the endpoint is of the version that most requests use now. */
+    public boolean isForMost(LiveEndpoint endpoint, long nowNanos) {
+        return !isRestricting(nowNanos) || !isPlanInForce() || isTarget(endpoint) == (shareNow(nowNanos) >= 1);
+    }
+
     private boolean isTarget(LiveEndpoint endpoint) {
         return plan.filter(present -> present.target().equals(endpoint.softwareVersion()))
                 .isPresent();
@@ -178,7 +185,8 @@
         return nowNanos - planAtNanos < PLAN_TIMEOUT.toNanos();
     }
 
-    private boolean isTargetOnly(long nowNanos) {
+    /** Whether new requests may use endpoints of the target only, even if none of them is usable. */
+    public boolean isTargetOnly(long nowNanos) {
         return plan.filter(present -> present.stage().isTargetOnly()).isPresent() && shareNow(nowNanos) > 0;
     }
 
--- a/scheduler/src/main/java/org/cowslippick/scheduler/rollout/VersionMeter.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/rollout/VersionMeter.java
@@ -21,6 +21,7 @@
     private final Map<Integer, VersionCounts> target = new HashMap<>();
     private final Map<Integer, VersionCounts> old = new HashMap<>();
     private final Map<Integer, Quantile> firstTimes = new HashMap<>();
+    private final Map<Integer, Quantile> firstTimesWithQueue = new HashMap<>();
     private final Map<Integer, Quantile> answerTimes = new HashMap<>();
 
     /** Starts the counts of a new order; the times of the old version stay known. */
@@ -38,18 +39,36 @@
     }
 
     /** Whether the time to the first event is slow; a time of the old version is taken as a sample too. */
-    boolean recordFirst(int route, boolean isTarget, double nanosPerWork) {
-        return record(firstTimes, route, isTarget, nanosPerWork);
+    boolean recordFirst(int route, boolean isTarget, FirstTime time) {
+        boolean isSlow = isFirstSlow(route, time);
+        if (!isTarget) {
+            quantile(firstTimes, route).add(time.nanosPerWork());
+            quantile(firstTimesWithQueue, route).add(time.nanosPerQueuedWork());
+        }
+        return isSlow;
+    }
+
+    /**
+     * Whether a time to the first event is slow, also if it has not ended. It must be slow with and without the work
+     * that the endpoint had before it: the first alone condemns an idle endpoint, the second one that is busy.
+     */
+    boolean isFirstSlow(int route, FirstTime time) {
+        return quantile(firstTimes, route).isExceeded(time.nanosPerWork())
+                && quantile(firstTimesWithQueue, route).isExceeded(time.nanosPerQueuedWork());
     }
 
     /** Whether the time of the answer is slow; a time of the old version is taken as a sample too. */
     boolean recordAnswer(int route, boolean isTarget, double nanosPerToken) {
-        return record(answerTimes, route, isTarget, nanosPerToken);
+        Quantile quantile = quantile(answerTimes, route);
+        boolean isSlow = quantile.isExceeded(nanosPerToken);
+        if (!isTarget) {
+            quantile.add(nanosPerToken);
+        }
+        return isSlow;
     }
 
-    /** Whether a time that has not ended is slow already. */
-    boolean isFirstSlow(int route, double nanosPerWork) {
-        return firstTimes.computeIfAbsent(route, _route -> new Quantile()).isExceeded(nanosPerWork);
+    private static Quantile quantile(Map<Integer, Quantile> times, int route) {
+        return times.computeIfAbsent(route, _route -> new Quantile());
     }
 
     void count(int route, boolean isTarget, boolean isFailure, boolean isSlow) {
@@ -57,14 +76,8 @@
                 .merge(route, new VersionCounts(1, isFailure ? 1 : 0, isSlow ? 1 : 0), VersionCounts::plus);
     }
 
-    private static boolean record(Map<Integer, Quantile> times, int route, boolean isTarget, double value) {
-        Quantile quantile = times.computeIfAbsent(route, _route -> new Quantile());
-        boolean isSlow = quantile.isExceeded(value);
-        if (!isTarget) {
-            quantile.add(value);
-        }
-        return isSlow;
-    }
+    /** A time to the first event, for each unit of the request's work and of all work that the endpoint had then. */
+    record FirstTime(double nanosPerWork, double nanosPerQueuedWork) {}
 
     private static final class Quantile {
         private double estimate;
--- a/scheduler/src/main/java/org/cowslippick/scheduler/rollout/VersionRuns.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/rollout/VersionRuns.java
@@ -30,6 +30,11 @@
         runs.put(key, run);
     }
 
+    /** Takes the requests that run now for no evidence. */
+    void ignoreRunning() {
+        runs.values().forEach(run -> run.isIgnored = true);
+    }
+
     void answerStarted(Object key, Optional<String> target, long nowNanos) {
         Run run = runs.get(key);
         if (run == null || run.isAnswered) {
@@ -38,7 +43,7 @@
         run.isAnswered = true;
         run.answeredAtNanos = nowNanos;
         removePending(run);
-        run.isSlow = meter.recordFirst(run.route, run.isOf(target), run.nanosPerWork(nowNanos));
+        run.isSlow = meter.recordFirst(run.route, run.isOf(target), run.firstTime(nowNanos));
     }
 
     void end(
@@ -57,14 +62,14 @@
         if (!wasAnswered) {
             removePending(run);
         }
-        if (!isEvidence) {
+        if (!isEvidence || run.isIgnored) {
             return;
         }
         if (isFailure) {
             meter.count(run.route, isTarget, true, false);
         } else if (!wasAnswered) {
             // The caller left, which says something only if the version took longer than the other one would have.
-            if (meter.isFirstSlow(run.route, run.nanosPerWork(nowNanos))) {
+            if (meter.isFirstSlow(run.route, run.firstTime(nowNanos))) {
                 meter.count(run.route, isTarget, false, true);
             }
         } else {
@@ -98,6 +103,7 @@
         private boolean isAnswered;
         private boolean isAdopted;
         private boolean isSlow;
+        private boolean isIgnored;
 
         Run(LiveEndpoint endpoint, int route, double work, double workToFirst, long startedAtNanos) {
             this.endpoint = endpoint;
@@ -111,8 +117,9 @@
             return target.filter(endpoint.softwareVersion()::equals).isPresent();
         }
 
-        double nanosPerWork(long nowNanos) {
-            return (nowNanos - startedAtNanos) / Math.max(1, workToFirst);
+        VersionMeter.FirstTime firstTime(long nowNanos) {
+            double elapsed = nowNanos - startedAtNanos;
+            return new VersionMeter.FirstTime(elapsed / Math.max(1, work), elapsed / Math.max(1, workToFirst));
         }
     }
 }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointPool.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointPool.java
@@ -63,10 +63,10 @@
         return endpoints.values().stream().allMatch(EndpointLoad::isLeaving);
     }
 
-    /** The slots that requests can be granted now; an endpoint with a rate limit counts as one. */
+    /** The slots that most requests can be granted now; an endpoint with a rate limit counts as one. */
     int freeSlots(long nowNanos) {
         return endpoints.values().stream()
-                .filter(load -> isOpen(load, nowNanos))
+                .filter(load -> isOpen(load, nowNanos) && versions.isForMost(load.endpoint(), nowNanos))
                 .mapToInt(load -> load.isRateLimited() ? 1 : load.freeSlots())
                 .sum();
     }
@@ -119,13 +119,24 @@
 
     /** The cheapest endpoint that the request may use now; during a roll-out, of the version that it should use. */
     Optional<EndpointLoad> cheapest(SlotRequest request, long nowNanos) {
-        VersionGate.Choice choice = versions.choose(request.routeKey(), nowNanos);
+        VersionGate.Choice choice = choice(request, nowNanos);
         return cheapest(request, choice, true, nowNanos)
                 .or(() -> choice == VersionGate.Choice.TARGET_OR_OLD
                         ? cheapest(request, choice, false, nowNanos)
                         : Optional.empty());
     }
 
+    /** Which versions the request may use; the old one if the target should get all but has no usable endpoint. */
+    VersionGate.Choice choice(SlotRequest request, long nowNanos) {
+        VersionGate.Choice choice = versions.choose(request.routeKey(), nowNanos);
+        boolean isUnusable = choice == VersionGate.Choice.TARGET
+                && !versions.isTargetOnly(nowNanos)
+                && endpoints.values().stream()
+                        .noneMatch(load ->
+                                versions.isAllowed(load.endpoint(), choice, true) && isAvailable(load, nowNanos));
+        return isUnusable ? VersionGate.Choice.OLD : choice;
+    }
+
     private Optional<EndpointLoad> cheapest(
             SlotRequest request, VersionGate.Choice choice, boolean isFirst, long nowNanos) {
         EndpointLoad cheapest = null;
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -267,7 +267,7 @@
 
     private boolean canBePlaced(SlotRequest request, ImmutableSet<VersionGate.Choice> placeable, long nowNanos) {
         return (request.excludedEndpoints().isEmpty() && !notices.hasPauses())
-                ? placeable.contains(versions().choose(request.routeKey(), nowNanos))
+                ? placeable.contains(endpoints.choice(request, nowNanos))
                 : endpoints.cheapest(request, nowNanos).isPresent();
     }
 
--- a/scheduler/src/test/java/org/cowslippick/scheduler/rollout/RolloutTrial.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/rollout/RolloutTrial.java
@@ -92,7 +92,7 @@
         this.decision = newDecision(RolloutStage.PROBE, 0);
         IntStream.range(0, QUEUES).forEach(_queue -> {
             VersionGate gate = new VersionGate();
-            gate.enable();
+            gate.enable(0);
             gate.setEndpoints(endpoints, 0);
             gates.add(gate);
         });
--- a/scheduler/src/test/java/org/cowslippick/scheduler/slot/SlotQueueVersionsTest.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/slot/SlotQueueVersionsTest.java
@@ -51,7 +51,7 @@
     }
 
     private void useOldAndTarget() {
-        queue.versions().enable();
+        queue.versions().enable(now);
         use(endpoint("old-0", OLD, false), endpoint("new-0", TARGET, false));
     }
 
@@ -170,7 +170,7 @@
     /** Guards against a share that overrides an endpoint's wish to leave. */
     @Test
     void leavingTargetGetsNothing() {
-        queue.versions().enable();
+        queue.versions().enable(now);
         use(endpoint("old-0", OLD, false), endpoint("new-0", TARGET, true));
         plan(RolloutStage.SEALED, 1);
         offer(2);
