--- a/platform/src/test/java/org/cowslippick/platform/BoundedJsonTest.java
+++ b/fleet/src/test/java/org/cowslippick/fleet/http/BoundedJsonTest.java
@@ -1,4 +1,4 @@
-package org.cowslippick.platform;
+package org.cowslippick.fleet.http;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
--- /dev/null
+++ b/relay/src/main/java/org/cowslippick/relay/rollout/package-info.java
@@ -0,0 +1,2 @@
+/** Orders of roll-outs and their status in the form in which a store holds them. */
+package org.cowslippick.relay.rollout;
--- a/relay/src/main/java/org/cowslippick/relay/slot/LocalSlotQueues.java
+++ b/relay/src/main/java/org/cowslippick/relay/slot/LocalSlotQueues.java
@@ -68,6 +68,14 @@
         return VersionPlans.totals(versions(service));
     }
 
+    /** What all queues have counted since the orders of their roll-outs. */
+    public RolloutTotals versionTotals() {
+        return VersionPlans.totals(queues.values().stream()
+                .map(SlotQueue::versions)
+                .filter(gate -> gate.plan().isPresent())
+                .collect(ImmutableList.toImmutableList()));
+    }
+
     private ImmutableList<VersionGate> versions(ServiceName service) {
         return queues.entrySet().stream()
                 .filter(entry -> entry.getKey().service().equals(service))
