--- a/scheduler/src/main/java/org/cowslippick/scheduler/rollout/RolloutDecision.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/rollout/RolloutDecision.java
@@ -200,7 +200,7 @@
                 }
             }
             case CUTOVER -> {
-                if (isConfirmedQuiet(nowNanos) && !comparison.isSuspicious(nowNanos)) {
+                if (isConfirmedQuiet(nowNanos) && !comparison.isSuspicious(nowNanos) && isWithinBoundUntil(remaining)) {
                     enter(RolloutStage.SEALED, "old-version-idle");
                 }
             }
@@ -263,6 +263,13 @@
         return owner.isRateKnown() && arriving <= room;
     }
 
+    /** Whether the bound lasts until the time limit at the present rate, as queues no longer keep it once sealed. */
+    private boolean isWithinBoundUntil(long remainingNanos) {
+        double arriving = requestsPerSecond() * remainingNanos / 1e9;
+        RolloutTotals totals = totals();
+        return totals.exposure() + arriving <= bounds.allowed(totals.requests() + arriving);
+    }
+
     /** Whether all instances apply the current plan and have run nothing on the old version for a while. */
     private boolean isConfirmedQuiet(long nowNanos) {
         boolean isLostBusy = owners.entrySet().stream()
--- a/scheduler/src/test/java/org/cowslippick/scheduler/rollout/RolloutDecisionTest.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/rollout/RolloutDecisionTest.java
@@ -101,6 +101,14 @@
         assertRolledBack(trial);
     }
 
+    /** Guards against exposure beyond the bound when requests come faster than the plan for the cutover assumed. */
+    @Property(tries = 12, seed = "19")
+    void boundHoldsInABurst(@ForAll long seed, @ForAll @IntRange(min = 50, max = 56) int from) {
+        RolloutTrial trial =
+                new RolloutTrial(seed, RATE, DURATION, GOOD).burstFrom(from, 4).run();
+        assertTrue(trial.isWithinBound(), trial::toString);
+    }
+
     /** Guards against a successor that exceeds the bound, or that forgets what the store holds. */
     @Property(tries = 12, seed = "17")
     void boundHoldsWhenTheDeciderIsLostAtAnyStage(
--- a/scheduler/src/test/java/org/cowslippick/scheduler/rollout/RolloutTrial.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/rollout/RolloutTrial.java
@@ -59,6 +59,7 @@
     private final Map<String, Long> linkFreeAt = new HashMap<>();
     private RolloutDecision decision;
     private double generalSlowness = 1;
+    private double burst = 1;
     private long now;
     private long number;
     private long bad;
@@ -128,6 +129,12 @@
         return this;
     }
 
+    /** Multiplies the rate of requests from a moment on. */
+    RolloutTrial burstFrom(double second, double factor) {
+        at((long) (second * SECOND), () -> burst = factor);
+        return this;
+    }
+
     /** Replaces the decider when the stage is reached, by one that knows the stored stage only. */
     RolloutTrial loseDeciderAt(RolloutStage stage, Duration absence) {
         at(now, () -> checkLoss(stage, absence));
@@ -213,7 +220,7 @@
     }
 
     private void arrive() {
-        at(now + (long) (-Math.log(1 - random.nextDouble()) / rate * SECOND), this::arrive);
+        at(now + (long) (-Math.log(1 - random.nextDouble()) / (burst * rate) * SECOND), this::arrive);
         int queue = random.nextInt(QUEUES);
         int route = random.nextInt(ROUTES);
         VersionGate gate = gates.get(queue);
