--- a/relay/src/main/java/org/cowslippick/relay/peer/ActiveRollout.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/ActiveRollout.java
@@ -107,13 +107,20 @@
         if (!plan.target().equals(decision.order().target())) {
             return;
         }
-        adoptOrder(plan.order());
-        decision.adopt(plan.stage());
+        resume(plan);
         if (weight(sender) > weight(self)) {
             rivalAtNanos = Optional.of(timer.nanoTime());
         }
     }
 
+    /** Goes on from a plan of the order, as the store may not hold its stage; an earlier order tells nothing. */
+    void resume(RolloutPlan plan) {
+        if (plan.target().equals(decision.order().target()) && plan.order() >= decision.orderId()) {
+            adoptOrder(plan.order());
+            decision.adopt(plan.stage());
+        }
+    }
+
     private long weight(InstanceName instance) {
         return RendezvousHashing.weight(instance, "rollout/" + service().value());
     }
--- a/relay/src/main/java/org/cowslippick/relay/peer/RolloutDeciders.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/RolloutDeciders.java
@@ -150,7 +150,9 @@
         long startedAt =
                 stored.status().map(RolloutStatus::startedAtMilliseconds).orElseGet(() -> firstSeenAt(stored));
         RolloutStage stage = stored.status().map(RolloutStatus::stage).orElse(RolloutStage.PROBE);
-        return new ActiveRollout(self, stored.order(), bounds, startedAt, stage, timer, store);
+        ActiveRollout rollout = new ActiveRollout(self, stored.order(), bounds, startedAt, stage, timer, store);
+        localQueues.plan(rollout.service()).ifPresent(rollout::resume);
+        return rollout;
     }
 
     private long firstSeenAt(StoredRollout stored) {
--- a/relay/src/test/java/org/cowslippick/relay/peer/RolloutFleetTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/peer/RolloutFleetTest.java
@@ -235,6 +235,38 @@
         assertEquals(RolloutStage.ROLLED_BACK, stage());
     }
 
+    /** Guards against a version that gets another chance when all deciders were cut off before the store was written. */
+    @Test
+    void badVersionStaysOutAfterAPartition() {
+        runUntil(RolloutStage.PROBE);
+        isStoreUnavailable = true;
+        isTargetBad = true;
+        run(Duration.ofSeconds(25));
+        int before = exposure;
+        IntStream.range(0, INSTANCES).forEach(number -> fleet.network().isolate(SlotFleet.name(number)));
+        run(Duration.ofSeconds(3));
+        IntStream.range(0, INSTANCES).forEach(this::reconnect);
+        isStoreUnavailable = false;
+        run(Duration.ofSeconds(3));
+        assertEquals(RolloutStage.ROLLED_BACK, stage());
+        assertEquals(before, exposure);
+    }
+
+    /** Guards against an earlier order for the same target that ends the new one. */
+    @Test
+    void sameTargetCanBeOrderedAgain() {
+        isTargetBad = true;
+        runUntil(RolloutStage.ROLLED_BACK);
+        isTargetBad = false;
+        hasOrder = false;
+        run(Duration.ofSeconds(5));
+        hasOrder = true;
+        stored = Optional.empty();
+        run(DURATION);
+        assertEquals(RolloutStage.COMPLETED, stage());
+        assertEquals(0, oldRunningAtCompletion);
+    }
+
     /** Guards against endpoints that stay unused after the removal of the order. */
     @Test
     void removalOfTheOrderEndsTheRestriction() {
