--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointPool.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointPool.java
@@ -10,6 +10,7 @@
 import java.util.function.ToLongFunction;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.scheduler.engine.PoolSpeeds;
+import org.cowslippick.scheduler.rollout.VersionGate;
 
 /** The endpoints of one slot queue: which of them may be used now, and which is the best for a request. */
 final class EndpointPool {
@@ -23,10 +24,10 @@
     /** The cost of pausing the streams of an endpoint for too long. */
     private static final long PAUSE_PENALTY_NANOS = Duration.ofMillis(500).toNanos();
 
-    /** The best of this many differs little from the best of all; the pools of a region are rarely larger. */
     /** The rest of its time that a request must have to wait for an endpoint that is about to read its prompts. */
     private static final long WAITING_MARGIN_NANOS = Duration.ofMillis(400).toNanos();
 
+    /** The best of this many differs little from the best of all; the pools of a region are rarely larger. */
     private static final int MAXIMUM_COMPARED = 128;
 
     private final Map<String, EndpointLoad> endpoints = new HashMap<>();
@@ -35,6 +36,7 @@
 
     private int firstCompared;
     private final PoolSpeeds speeds = new PoolSpeeds();
+    private final VersionGate versions = new VersionGate();
     private boolean isOwner = true;
     private long memoryTokens;
 
@@ -46,6 +48,12 @@
     /** Sets whether this instance is the designated owner, which alone uses endpoints with a rate limit. */
     void setOwner(boolean owner) {
         isOwner = owner;
+        versions.setOwner(owner);
+    }
+
+    /** Which versions requests may use during a roll-out. */
+    VersionGate versions() {
+        return versions;
     }
 
     Optional<EndpointLoad> get(String id) {
@@ -60,6 +68,7 @@
                 .computeIfAbsent(endpoint.id(), _id -> new EndpointLoad(endpoint, speeds, nowNanos))
                 .setEndpoint(endpoint));
         all = ImmutableList.copyOf(endpoints.values());
+        versions.setEndpoints(current, nowNanos);
     }
 
     /** Whether there is no endpoint that takes new requests, now or later. */
@@ -67,10 +76,10 @@
         return endpoints.values().stream().allMatch(EndpointLoad::isLeaving);
     }
 
-    /** The slots that requests can be granted now; an endpoint with a rate limit counts as one. */
+    /** The slots that most requests can be granted now; an endpoint with a rate limit counts as one. */
     int freeSlots(long nowNanos) {
         return endpoints.values().stream()
-                .filter(load -> isOpen(load, nowNanos))
+                .filter(load -> isOpen(load, nowNanos) && versions.isForMost(load.endpoint(), nowNanos))
                 .mapToInt(load -> load.isRateLimited() ? 1 : load.freeSlots())
                 .sum();
     }
@@ -90,7 +99,9 @@
 
     /** Whether this queue may use the endpoint, now or when a slot and its rate limit allow. */
     private boolean isAvailable(EndpointLoad load, long nowNanos) {
-        return load.isUsable(nowNanos) && (isOwner || !load.isRateLimited());
+        return load.isUsable(nowNanos)
+                && (isOwner || !load.isRateLimited())
+                && !versions.isClosed(load.endpoint(), nowNanos);
     }
 
     /**
@@ -125,12 +136,33 @@
         return shortest == Long.MAX_VALUE ? 0 : shortest;
     }
 
+    /** The cheapest endpoint that the request may use now; during a roll-out, of the version that it should use. */
+    Optional<EndpointLoad> cheapest(SlotRequest request, long nowNanos) {
+        updateSpeeds(nowNanos);
+        VersionGate.Choice choice = choice(request, nowNanos);
+        return cheapest(request, choice, true, nowNanos)
+                .or(() -> choice == VersionGate.Choice.TARGET_OR_OLD
+                        ? cheapest(request, choice, false, nowNanos)
+                        : Optional.empty());
+    }
+
+    /** Which versions the request may use; the old one if the target should get all but has no usable endpoint. */
+    VersionGate.Choice choice(SlotRequest request, long nowNanos) {
+        VersionGate.Choice choice = versions.choose(request.routeKey(), nowNanos);
+        boolean isUnusable = choice == VersionGate.Choice.TARGET
+                && !versions.isTargetOnly(nowNanos)
+                && all.stream()
+                        .noneMatch(load ->
+                                versions.isAllowed(load.endpoint(), choice, true) && isAvailable(load, nowNanos));
+        return isUnusable ? VersionGate.Choice.OLD : choice;
+    }
+
     /**
      * The endpoint with the lowest cost among those open to the request. In a pool with more than the maximum, each
      * decision compares others, so that its processor time does not grow with the pool.
      */
-    Optional<EndpointLoad> cheapest(SlotRequest request, long nowNanos) {
-        updateSpeeds(nowNanos);
+    private Optional<EndpointLoad> cheapest(
+            SlotRequest request, VersionGate.Choice choice, boolean isFirst, long nowNanos) {
         EndpointLoad cheapest = null;
         long lowestCost = Long.MAX_VALUE;
         int compared = 0;
@@ -139,6 +171,7 @@
             EndpointLoad load = all.get((first + index) % all.size());
             if (isOpenTo(load, request, nowNanos)
                     && !isBetterLater(load, request, nowNanos)
+                    && versions.isAllowed(load.endpoint(), choice, isFirst)
                     && !request.excludedEndpoints().contains(load.endpoint().id())) {
                 compared++;
                 long cost = cost(load, request, nowNanos);
@@ -185,6 +218,9 @@
     }
 
     boolean isAnyOpenTo(SlotRequest request, long nowNanos) {
+        if (versions.isRestricting(nowNanos)) {
+            return cheapest(request, nowNanos).isPresent();
+        }
         for (EndpointLoad load : all) {
             if (isOpenTo(load, request, nowNanos)) {
                 return true;
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -11,6 +11,7 @@
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.world.InstanceName;
 import org.cowslippick.scheduler.engine.SpeedEstimate;
+import org.cowslippick.scheduler.rollout.VersionGate;
 
 /**
  * The slots of a pool's endpoints and the requests that wait for one. An endpoint is chosen when a slot becomes free,
@@ -64,6 +65,11 @@
         endpoints.get(endpoint).ifPresent(load -> load.speed().inherit(estimate));
     }
 
+    /** Which versions requests may use during a roll-out. */
+    public VersionGate versions() {
+        return endpoints.versions();
+    }
+
     /** Records what an endpoint said about its rate limit. */
     public ImmutableList<SlotDecision> recordRateLimit(String endpoint, EndpointRateLimit limit, long nowNanos) {
         endpoints.get(endpoint).ifPresent(load -> load.recordRateLimit(limit, nowNanos));
@@ -102,6 +108,7 @@
     public ImmutableList<SlotDecision> offer(SlotRequest offered, long nowNanos) {
         forgetExpired(nowNanos);
         SlotRequest request = refusals.matchRetry(offered, nowNanos);
+        recordForVersions(request);
         if (endpoints.isWithoutTakers()) {
             return ImmutableList.of(refusals.noEndpoint(request, nowNanos));
         }
@@ -142,6 +149,13 @@
                 request, waitNanos, endpoints.pauseNanos(request, nowNanos), dispatchRate.expectedNanos(1), nowNanos);
     }
 
+    /** Counts each attempt of a caller once, however many endpoints it is sent to. */
+    private void recordForVersions(SlotRequest request) {
+        if (request.excludedEndpoints().isEmpty()) {
+            versions().recordRequest(request.routeKey());
+        }
+    }
+
     /** Removes a waiting request without a decision. */
     public void withdraw(SlotKey key) {
         waiting.remove(key);
@@ -149,6 +163,7 @@
 
     /** Records that the first part of the answer arrived. */
     public void recordAnswerStart(SlotKey key, long nowNanos) {
+        versions().recordAnswerStart(key, nowNanos);
         Optional.ofNullable(running.get(key)).ifPresent(entry -> {
             entry.load().recordAnswerStart(entry.request(), nowNanos);
             endPause(entry.load(), key.instance(), nowNanos);
@@ -164,8 +179,16 @@
 
     /** Records the end of a dispatch, which frees its slot. */
     public ImmutableList<SlotDecision> recordEnd(SlotKey key, AnswerOutcome outcome, long nowNanos) {
-        Optional.ofNullable(running.remove(key))
-                .ifPresent(entry -> entry.load().end(entry.request(), outcome, nowNanos));
+        Optional.ofNullable(running.remove(key)).ifPresent(entry -> {
+            entry.load().end(entry.request(), outcome, nowNanos);
+            versions()
+                    .recordEnd(
+                            key,
+                            outcome.failureWeight() > 0,
+                            outcome != AnswerOutcome.UNREACHABLE,
+                            entry.request().answerTokens(),
+                            nowNanos);
+        });
         return step(nowNanos);
     }
 
@@ -176,6 +199,7 @@
                 .filter(_load -> !running.containsKey(request.key()))
                 .ifPresent(load -> {
                     load.adopt(request, nowNanos);
+                    versions().adopt(request.key(), load.endpoint(), request.routeKey());
                     running.put(request.key(), new Running(request, load));
                 });
     }
@@ -190,7 +214,10 @@
         ImmutableList.copyOf(running.keySet()).stream()
                 .filter(key -> key.instance().equals(instance))
                 .map(running::remove)
-                .forEach(entry -> entry.load().end(entry.request(), AnswerOutcome.SOUND, nowNanos));
+                .forEach(entry -> {
+                    entry.load().end(entry.request(), AnswerOutcome.SOUND, nowNanos);
+                    versions().recordEnd(entry.request().key(), false, false, 0, nowNanos);
+                });
         return step(nowNanos);
     }
 
@@ -238,6 +265,7 @@
         expired.forEach(entry -> {
             running.remove(entry.request().key());
             entry.load().forget(entry.request());
+            versions().recordEnd(entry.request().key(), false, false, 0, nowNanos);
         });
     }
 
@@ -279,6 +307,8 @@
         long predicted = load.predictedNanos(request, nowNanos);
         waiting.take(request, nowNanos);
         load.start(request, nowNanos);
+        versions()
+                .recordStart(request.key(), load.endpoint(), request.routeKey(), EndpointLoad.work(request), nowNanos);
         running.put(request.key(), new Running(request, load));
         dispatchRate.recordDispatch(nowNanos);
         refusals.recordDispatch(request);
