--- a/scheduler/src/main/java/org/cowslippick/scheduler/share/FairQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/share/FairQueue.java
@@ -67,11 +67,6 @@
         return size;
     }
 
-    /** Whether a request waits whose caller was not refused before. */
-    public boolean hasFirstAttempts() {
-        return size > returns;
-    }
-
     public void add(T request) {
         OrganisationQueue<T> queue = organisations.computeIfAbsent(
                 organisationOf.apply(request), key -> new OrganisationQueue<>(key, order, created++));
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -134,14 +134,12 @@
     }
 
     /**
-     * Whether a request that must wait can be on time. A caller's retry is worth queueing if it is served before its
-     * caller disconnects, or if it would be refused while first attempts of its urgency wait.
+     * Whether a request that must wait can be on time, or is a caller's retry that is served before its caller disconnects. A
+     * retry that would wait in vain is refused at once.
      */
     private boolean isWorthQueueing(SlotRequest request, long waitNanos, long nowNanos) {
-        boolean onTime = endpoints.canBeOnTime(request, waitNanos, nowNanos);
-        boolean retryServed = nowNanos + waitNanos - request.queueDeadlineNanos() < 0
-                || (nowNanos - request.queueDeadlineNanos() < 0 && waiting.hasFirstAttempts(request));
-        return onTime || (request.isCallerRetry() && retryServed);
+        boolean retryServed = request.isCallerRetry() && nowNanos + waitNanos - request.queueDeadlineNanos() < 0;
+        return retryServed || endpoints.canBeOnTime(request, waitNanos, nowNanos);
     }
 
     private SlotDecision refuseForLength(SlotRequest request, long waitNanos, long nowNanos) {
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/WaitingRequests.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/WaitingRequests.java
@@ -147,11 +147,6 @@
                 .orElse(waited);
     }
 
-    /** Whether a first attempt of the urgency of the given request waits that can still be on time. */
-    boolean hasFirstAttempts(SlotRequest request) {
-        return sameUrgency(request).filter(FairQueue::hasFirstAttempts).isPresent();
-    }
-
     /**
      * Returns the request that a full queue gives up for a new one: the last of the lowest urgency, late ones first. One
      * of the same urgency is given up only for a caller's retry, or for an organisation that has less waiting.
