--- a/scheduler/src/main/java/org/cowslippick/scheduler/share/FairQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/share/FairQueue.java
@@ -38,7 +38,6 @@
     private double virtualTime;
     private long created;
     private int size;
-    private int returns;
     private Optional<Long> takenAtNanos = Optional.empty();
 
     /**
@@ -77,7 +76,6 @@
             updated.add(request, workOf.applyAsDouble(request), isReturn.test(request));
         });
         size++;
-        returns += isReturn.test(request) ? 1 : 0;
     }
 
     /** Removes a request that is not dispatched. */
@@ -88,7 +86,6 @@
         }
         update(queue, updated -> updated.remove(request, workOf.applyAsDouble(request), isReturn.test(request)));
         size--;
-        returns -= isReturn.test(request) ? 1 : 0;
         return true;
     }
 
