--- a/relay/src/main/java/org/cowslippick/relay/peer/StateSyncMessages.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/StateSyncMessages.java
@@ -76,8 +76,8 @@
      *
      * @param versions the versions of the sender's state
      * @param configuration empty if the receiver's version is as high
-     * @param endpoints empty if the receiver's revision is as high
-     * @param instances empty if the receiver's revision is as high
+     * @param endpoints empty if the receiver's position is as high
+     * @param instances empty if the receiver's position is as high
      */
     record StateSnapshot(
             StateVersions versions,
--- a/relay/src/main/java/org/cowslippick/relay/peer/StateSynchroniser.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/StateSynchroniser.java
@@ -89,7 +89,7 @@
 
     /** The versions of this instance's state. */
     StateVersions versions() {
-        return new StateVersions(routing.current().version(), endpoints.revision(), instances.revision());
+        return new StateVersions(routing.current().version(), endpoints.position(), instances.position());
     }
 
     boolean isStoreUnavailable() {
@@ -147,8 +147,10 @@
         LOGGER.info(LogLine.of("briefing-wanted")
                 .with("from", other.value())
                 .with("configuration", versions().configuration())
-                .with("endpointsRevision", versions().endpoints())
-                .with("instancesRevision", versions().instances()));
+                .with("endpointsEra", versions().endpoints().era())
+                .with("endpointsRevision", versions().endpoints().revision())
+                .with("instancesEra", versions().instances().era())
+                .with("instancesRevision", versions().instances().revision()));
         network.ifPresent(peers -> peers.send(other, new StateRequest(versions())));
     }
 
@@ -159,23 +161,29 @@
                 new StateSnapshot(
                         versions(),
                         routing.document().filter(document -> document.version() > known.configuration()),
-                        endpoints.revision() > known.endpoints() ? endpoints.registered() : ImmutableList.of(),
-                        instances.revision() > known.instances() ? instances.all() : ImmutableList.of()));
+                        endpoints.position().isNewerThan(known.endpoints())
+                                ? endpoints.registered()
+                                : ImmutableList.of(),
+                        instances.position().isNewerThan(known.instances())
+                                ? instances.allRegistered()
+                                : ImmutableList.of()));
     }
 
     private void apply(PeerIdentity sender, StateSnapshot snapshot) {
         LOGGER.info(LogLine.of("briefing-received")
                 .with("from", sender.name().value())
                 .with("configuration", snapshot.versions().configuration())
-                .with("endpointsRevision", snapshot.versions().endpoints())
+                .with("endpointsEra", snapshot.versions().endpoints().era())
+                .with("endpointsRevision", snapshot.versions().endpoints().revision())
                 .with("endpoints", snapshot.endpoints().size())
-                .with("instancesRevision", snapshot.versions().instances())
+                .with("instancesEra", snapshot.versions().instances().era())
+                .with("instancesRevision", snapshot.versions().instances().revision())
                 .with("instances", snapshot.instances().size())
                 .with(
                         "sinceRequestMs",
                         Duration.ofNanos(timer.nanoTime() - lastRequestNanos).toMillis()));
         behindSinceNanos = Optional.empty();
-        // A list is left out only if this instance already knew its revision, and is then not applied.
+        // A list is left out only if this instance already knew its position, and is then not applied.
         endpoints.applyFromPeer(snapshot.endpoints(), snapshot.versions().endpoints(), sender.name());
         instances.applyFromPeer(snapshot.instances(), snapshot.versions().instances());
         snapshot.configuration().ifPresent(applier);
--- a/relay/src/main/java/org/cowslippick/relay/state/EndpointDirectory.java
+++ b/relay/src/main/java/org/cowslippick/relay/state/EndpointDirectory.java
@@ -19,6 +19,8 @@
  * within two seconds of its recovery. Endpoints that the store does not list after an outage are therefore kept for
  * that time. Only registered endpoints are passed on to other instances, which apply grace periods of their own:
  * otherwise an endpoint would outlive the grace period of the instance that kept it.
+ *
+ * <p>A newer era of the store counts as an outage, and endpoint runs that were leaving before it stay so.
  */
 public final class EndpointDirectory {
 
@@ -27,16 +29,16 @@
     /** The platform guarantees registration within two seconds; the rest allows for delivery of the last change. */
     private static final Duration RECOVERY_GRACE_PERIOD = Duration.ofMillis(2200);
 
-    private static final long NEVER_READ = -1;
     private static final String STORE = "store";
 
     private final TimerService timer;
     private final Consumer<ImmutableList<LiveEndpoint>> consumer;
+    private final LeavingRuns leavingRuns = new LeavingRuns();
     private ImmutableMap<String, LiveEndpoint> registered = ImmutableMap.of();
     private ImmutableMap<String, LiveEndpoint> active = ImmutableMap.of();
     private ImmutableMap<String, KeptEndpoint> kept = ImmutableMap.of();
     private Optional<Long> gracePeriodEndNanos = Optional.empty();
-    private long revision = NEVER_READ;
+    private StorePosition position = StorePosition.NEVER_READ;
     private boolean storeUnavailable = true;
 
     /** Creates an empty directory; the consumer receives the active endpoints after each change. */
@@ -62,20 +64,25 @@
         timer.schedule(RECOVERY_GRACE_PERIOD, () -> update("end of the grace period"));
     }
 
-    /** Replaces all entries by those that the store held at the revision. */
+    /** Replaces all entries by those that a store without eras held at the revision. */
     public void replace(ImmutableList<LiveEndpoint> entries, long storeRevision) {
+        replace(entries, new StorePosition(0, storeRevision));
+    }
+
+    /** Replaces all entries by those that the store held at the position. */
+    public void replace(ImmutableList<LiveEndpoint> entries, StorePosition read) {
         storeUnavailable = false;
-        if (storeRevision >= revision) {
-            apply(entries, storeRevision, STORE);
+        if (!position.isNewerThan(read)) {
+            apply(entries, read, STORE);
         }
     }
 
     /** Applies entries that the peer read from the store, if {@link #isBehind} holds. */
-    public void applyFromPeer(ImmutableList<LiveEndpoint> entries, long storeRevision, InstanceName peer) {
-        if (isBehind(storeRevision)) {
-            apply(entries, storeRevision, peer.value());
-            // Entries that are equal at both revisions need not be requested again.
-            revision = storeRevision;
+    public void applyFromPeer(ImmutableList<LiveEndpoint> entries, StorePosition read, InstanceName peer) {
+        if (isBehind(read)) {
+            apply(entries, read, peer.value());
+            // Entries that are equal at both positions need not be requested again.
+            position = read;
         }
     }
 
@@ -83,20 +90,17 @@
         return storeUnavailable;
     }
 
-    /** Whether this instance knows an older revision than the given one. */
-    public boolean isBehind(long storeRevision) {
-        return storeRevision > revision;
+    /** Whether this instance knows an older position than the given one. */
+    public boolean isBehind(StorePosition other) {
+        return other.isNewerThan(position);
     }
 
-    /**
-     * The store revision at which the current entries were first read, here or by the peer that they came from; negative
-     * before the first read.
-     */
-    public long revision() {
-        return revision;
+    /** The position at which the current entries were first read in its era, here or by the peer that they came from. */
+    public StorePosition position() {
+        return position;
     }
 
-    /** The endpoints that the store listed at {@link #revision}. */
+    /** The endpoints that the store listed at {@link #position}. */
     public ImmutableList<LiveEndpoint> registered() {
         return registered.values().asList();
     }
@@ -106,10 +110,21 @@
         return active.values().asList();
     }
 
-    private void apply(ImmutableList<LiveEndpoint> entries, long storeRevision, String source) {
-        ImmutableMap<String, LiveEndpoint> received = Maps.uniqueIndex(entries, LiveEndpoint::id);
-        if (revision == NEVER_READ || !received.equals(registered)) {
-            revision = storeRevision;
+    private void apply(ImmutableList<LiveEndpoint> entries, StorePosition read, String source) {
+        boolean isNewEra = read.isOfNewerEraThan(position);
+        ImmutableList<LiveEndpoint> marked = leavingRuns.markLeaving(entries, read.era());
+        leavingRuns.record(marked, read.era(), timer.nanoTime());
+        if (isNewEra) {
+            LOGGER.warn(LogLine.of("store-era-changed")
+                    .with("before", position.era())
+                    .with("after", read.era())
+                    .with("revision", read.revision())
+                    .with("source", source));
+            startGracePeriod();
+        }
+        ImmutableMap<String, LiveEndpoint> received = Maps.uniqueIndex(marked, LiveEndpoint::id);
+        if (isNewEra || !position.isRead() || !received.equals(registered)) {
+            position = read;
             registered = received;
             update(source);
         }
@@ -145,7 +160,8 @@
         if (active.isEmpty()) {
             LOGGER.info(LogLine.of("endpoints-loaded")
                     .with("source", source)
-                    .with("revision", revision)
+                    .with("era", position.era())
+                    .with("revision", position.revision())
                     .with("endpoints", describe(next)));
             return;
         }
@@ -169,7 +185,8 @@
                 .with("leaving", endpoint.leaving())
                 .with("version", endpoint.version())
                 .with("source", source)
-                .with("revision", revision);
+                .with("era", position.era())
+                .with("revision", position.revision());
     }
 
     /** One short entry per endpoint, as the first list would otherwise take a line for each. */
--- a/relay/src/main/java/org/cowslippick/relay/status/InstanceGauges.java
+++ b/relay/src/main/java/org/cowslippick/relay/status/InstanceGauges.java
@@ -56,8 +56,12 @@
                 "endpoints_leaving",
                 "Endpoints whose entry says that they leave.",
                 () -> endpoints.active().stream().filter(LiveEndpoint::leaving).count());
-        metrics.addGauge(
-                "endpoints_revision", "The revision of the store at which they were read.", endpoints::revision);
+        metrics.addGauge("endpoints_revision", "The revision of the store at which they were read.", () -> endpoints
+                .position()
+                .revision());
+        metrics.addGauge("store_era", "The era of the store at which they were read.", () -> endpoints
+                .position()
+                .era());
         metrics.addGauge(
                 "store_unavailable",
                 "Whether this instance cannot read the store.",
--- a/relay/src/test/java/org/cowslippick/relay/peer/FleetMembershipTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/peer/FleetMembershipTest.java
@@ -30,6 +30,7 @@
 import org.cowslippick.relay.state.EndpointDirectory;
 import org.cowslippick.relay.state.InstanceDirectory;
 import org.cowslippick.relay.state.RoutingState;
+import org.cowslippick.relay.state.StorePosition;
 import org.junit.jupiter.api.Test;
 
 /** A large fleet in two regions, in which the first instances of each region have the most processor time. */
@@ -134,7 +135,7 @@
             nodes.get(number).endpoints.replace(ImmutableList.of(), 6);
         });
         timer.advance(Duration.ofMillis(1_500));
-        assertEquals(6, member.endpoints.revision());
+        assertEquals(6, member.endpoints.position().revision());
         assertEquals(ImmutableList.of(ENGINE), member.endpoints.active());
         timer.advance(Duration.ofMillis(1_500));
         assertEquals(ImmutableList.of(), member.endpoints.active());
@@ -161,7 +162,11 @@
                         nodes.get(number).instances.self().name())
                 .send(
                         member.instances.self().name(),
-                        new InstanceReport(true, new StateVersions(-1, 1, 1), ImmutableList.of(), ImmutableList.of())));
+                        new InstanceReport(
+                                true,
+                                new StateVersions(-1, new StorePosition(0, 1), new StorePosition(0, 1)),
+                                ImmutableList.of(),
+                                ImmutableList.of())));
         timer.advance(Duration.ofSeconds(2));
         readers().forEach(number -> nodes.get(number).configure(7));
         timer.advance(Duration.ofSeconds(2));
@@ -277,8 +282,8 @@
                     : new FailureDomain("laredo", new Region("cantabria"));
             HostAndPort address = HostAndPort.fromParts("10.0.0." + number, 1);
             InstanceName name = new InstanceName("front-" + number);
-            instances =
-                    new InstanceDirectory(new Instance(name, domain, address, address, number < POWERFUL ? 1.5 : 0.36));
+            instances = new InstanceDirectory(
+                    new Instance(name, domain, address, address, number < POWERFUL ? 1.5 : 0.36), timer);
             instances.setSelfServing(true);
             quotas = new SharedQuotas(timer, new QuotaTolerance(Duration.ofSeconds(8), 0, 0));
             LocalSlotQueues localQueues = new LocalSlotQueues(timer);
--- a/relay/src/test/java/org/cowslippick/relay/peer/RegionViewsTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/peer/RegionViewsTest.java
@@ -11,6 +11,7 @@
 import org.cowslippick.core.world.InstanceName;
 import org.cowslippick.core.world.OrganisationName;
 import org.cowslippick.core.world.Region;
+import org.cowslippick.relay.state.StorePosition;
 import org.junit.jupiter.api.Test;
 
 class RegionViewsTest {
@@ -72,7 +73,7 @@
                 new Region("asturias"),
                 new InstanceName(collector),
                 new Incarnation(incarnation),
-                new StateVersions(1, 1, 1),
+                new StateVersions(1, new StorePosition(0, 1), new StorePosition(0, 1)),
                 members,
                 ImmutableList.of(new InstanceReport.Usage(ORGANISATION, used)),
                 ImmutableList.of());
--- a/relay/src/test/java/org/cowslippick/relay/peer/SlotFleet.java
+++ b/relay/src/test/java/org/cowslippick/relay/peer/SlotFleet.java
@@ -127,7 +127,7 @@
 
         private Node(int number) {
             this.number = number;
-            InstanceDirectory known = new InstanceDirectory(instance(number));
+            InstanceDirectory known = new InstanceDirectory(instance(number), timer);
             known.setSelfServing(true);
             known.replace(
                     IntStream.range(0, instances)
--- a/relay/src/test/java/org/cowslippick/relay/peer/StateSynchroniserTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/peer/StateSynchroniserTest.java
@@ -30,6 +30,7 @@
 import org.cowslippick.relay.state.EndpointDirectory;
 import org.cowslippick.relay.state.InstanceDirectory;
 import org.cowslippick.relay.state.RoutingState;
+import org.cowslippick.relay.state.StorePosition;
 import org.junit.jupiter.api.Test;
 
 class StateSynchroniserTest {
@@ -109,7 +110,9 @@
         fresh.endpoints.replace(ImmutableList.of(OTHER_ENGINE), 60);
         informed.endpoints.replace(ImmutableList.of(ENGINE), 50);
         fresh.endpoints.applyFromPeer(
-                ImmutableList.of(ENGINE), 50, informed.instances.self().name());
+                ImmutableList.of(ENGINE),
+                new StorePosition(0, 50),
+                informed.instances.self().name());
         assertEquals(ImmutableList.of(OTHER_ENGINE), fresh.endpoints.active());
         timer.advance(Duration.ofSeconds(1));
         assertEquals(ImmutableList.of(OTHER_ENGINE), fresh.endpoints.active());
@@ -125,10 +128,36 @@
         informed.endpoints.replace(ImmutableList.of(ENGINE), 63);
         fresh.endpoints.replace(ImmutableList.of(ENGINE), 60);
         timer.advance(Duration.ofSeconds(5));
-        assertEquals(63, fresh.endpoints.revision());
+        assertEquals(63, fresh.endpoints.position().revision());
         assertEquals(1, network.count(StateRequest.class));
     }
 
+    /** Compared by revision alone, the instance took its lost state for newer until the store had caught up. */
+    @Test
+    void instanceThatCannotReadTheStoreLearnsOfANewEraFromAPeer() {
+        initialise(informed, fresh, 3);
+        informed.endpoints.replace(ImmutableList.of(ENGINE), new StorePosition(1, 60));
+        fresh.endpoints.replace(ImmutableList.of(ENGINE), new StorePosition(1, 60));
+        fresh.endpoints.storeLost();
+        informed.endpoints.replace(ImmutableList.of(OTHER_ENGINE), new StorePosition(2, 40));
+        timer.advance(Duration.ofSeconds(1));
+        assertEquals(new StorePosition(2, 40), fresh.endpoints.position());
+        assertEquals(ImmutableList.of(OTHER_ENGINE, ENGINE), fresh.endpoints.active());
+        timer.advance(Duration.ofSeconds(3));
+        assertEquals(ImmutableList.of(OTHER_ENGINE), fresh.endpoints.active());
+        assertEquals(ImmutableList.of(OTHER_ENGINE), informed.endpoints.active());
+    }
+
+    @Test
+    void instanceThatStartsRightAfterARestartTakesTheNewerConfigurationFromAPeer() {
+        initialise(informed, fresh, 11);
+        informed.routing.applyIfNewer(table(12), "configuration 12", "store");
+        informed.endpoints.replace(ImmutableList.of(ENGINE), new StorePosition(2, 40));
+        fresh.endpoints.replace(ImmutableList.of(ENGINE), new StorePosition(2, 40));
+        timer.advance(Duration.ofSeconds(1));
+        assertEquals("configuration 12", fresh.routing.document().orElseThrow().text());
+    }
+
     @Test
     void removalOfTheLastEndpointReachesAnInstanceThatCannotReadTheStore() {
         initialise(informed, fresh, 3);
@@ -139,7 +168,7 @@
         informed.endpoints.replace(ImmutableList.of(), 60);
         timer.advance(Duration.ofSeconds(1));
         assertEquals(ImmutableList.of(), fresh.endpoints.active());
-        assertEquals(60, fresh.endpoints.revision());
+        assertEquals(60, fresh.endpoints.position().revision());
     }
 
     /** Incident DRAIN: a member never learned that the grace period of the collector had ended. */
@@ -162,7 +191,7 @@
     void snapshotIsUnchangedByEncodingAndDecoding() {
         FrameCodec codec = new FrameCodec(new MessageTypes(FleetSlotBroker.MESSAGE_TYPES));
         StateSnapshot snapshot = new StateSnapshot(
-                new StateVersions(12, 99, 100),
+                new StateVersions(12, new StorePosition(3, 99), new StorePosition(2, 100)),
                 Optional.of(new ConfigurationDocument(12, "{\"version\":12}")),
                 ImmutableList.of(ENGINE),
                 ImmutableList.of(informed.instances.self()));
@@ -217,7 +246,7 @@
 
         Node(String name, int number) {
             HostAndPort address = HostAndPort.fromParts("10.0.0." + number, 1);
-            instances = new InstanceDirectory(new Instance(new InstanceName(name), DOMAIN, address, address));
+            instances = new InstanceDirectory(new Instance(new InstanceName(name), DOMAIN, address, address), timer);
             LocalSlotQueues localQueues = new LocalSlotQueues(timer);
             endpoints = new EndpointDirectory(timer, localQueues::replaceEndpoints);
             StateSynchroniser stateSynchroniser = new StateSynchroniser(
--- a/relay/src/test/java/org/cowslippick/relay/state/EndpointDirectoryTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/state/EndpointDirectoryTest.java
@@ -9,6 +9,7 @@
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.time.ManualTimerService;
 import org.cowslippick.core.world.FailureDomain;
+import org.cowslippick.core.world.InstanceName;
 import org.cowslippick.core.world.Region;
 import org.cowslippick.core.world.ServiceName;
 import org.junit.jupiter.api.Test;
@@ -16,6 +17,7 @@
 class EndpointDirectoryTest {
 
     private static final LiveEndpoint ENGINE = endpoint(false);
+    private static final LiveEndpoint OTHER_RUN = endpoint("engine-2", false, 0);
 
     private final ManualTimerService timer = new ManualTimerService();
     private final AtomicReference<ImmutableList<LiveEndpoint>> active = new AtomicReference<>(ImmutableList.of());
@@ -68,14 +70,89 @@
         assertEquals(ImmutableList.of(), active.get());
     }
 
+    @Test
+    void keepsAnEndpointThatTheCopyLacksForTheGracePeriod() {
+        directory.replace(ImmutableList.of(ENGINE), new StorePosition(1, 50));
+        directory.replace(ImmutableList.of(), new StorePosition(2, 40));
+        assertEquals(ImmutableList.of(ENGINE), active.get());
+        timer.advance(Duration.ofMillis(1_500));
+        directory.replace(ImmutableList.of(ENGINE), new StorePosition(2, 41));
+        timer.advance(Duration.ofMillis(800));
+        assertEquals(ImmutableList.of(ENGINE), active.get());
+        directory.replace(ImmutableList.of(), new StorePosition(2, 42));
+        assertEquals(ImmutableList.of(), active.get());
+    }
+
+    /** A second restart within the period would keep an endpoint that has crashed for twice as long. */
+    @Test
+    void dropsAnEndpointThatIsNotWrittenAgainAfterOneGracePeriodInSpiteOfASecondRestart() {
+        directory.replace(ImmutableList.of(ENGINE), new StorePosition(1, 50));
+        directory.replace(ImmutableList.of(), new StorePosition(2, 40));
+        timer.advance(Duration.ofMillis(1_500));
+        directory.replace(ImmutableList.of(), new StorePosition(3, 30));
+        assertEquals(ImmutableList.of(ENGINE), active.get());
+        timer.advance(Duration.ofMillis(800));
+        assertEquals(ImmutableList.of(), active.get());
+    }
+
+    @Test
+    void ignoresALateListOfAnOlderEra() {
+        directory.replace(ImmutableList.of(ENGINE), new StorePosition(1, 50));
+        directory.replace(ImmutableList.of(ENGINE), new StorePosition(2, 40));
+        directory.replace(ImmutableList.of(), new StorePosition(1, 60));
+        directory.applyFromPeer(ImmutableList.of(), new StorePosition(1, 70), new InstanceName("peer"));
+        assertEquals(ImmutableList.of(ENGINE), active.get());
+        assertEquals(new StorePosition(2, 40), directory.position());
+    }
+
+    /** The copy is older than the moment at which the endpoint began to leave; it must get no new request. */
+    @Test
+    void leavingRunStaysLeavingAlthoughTheCopySaysReady() {
+        directory.replace(ImmutableList.of(endpoint(true)), new StorePosition(1, 50));
+        directory.replace(ImmutableList.of(ENGINE), new StorePosition(2, 40));
+        assertEquals(ImmutableList.of(endpoint(true)), active.get());
+        directory.replace(ImmutableList.of(ENGINE, OTHER_RUN), new StorePosition(3, 30));
+        assertEquals(ImmutableList.of(endpoint(true), OTHER_RUN), active.get());
+    }
+
+    @Test
+    void leavingRunThatWasRemovedBeforeTheRestartComesBackAsLeaving() {
+        directory.replace(ImmutableList.of(endpoint(true)), new StorePosition(1, 50));
+        directory.replace(ImmutableList.of(), new StorePosition(1, 51));
+        directory.replace(ImmutableList.of(ENGINE), new StorePosition(2, 40));
+        assertEquals(ImmutableList.of(endpoint(true)), active.get());
+    }
+
+    @Test
+    void laterRunOfALeavingEndpointIsReady() {
+        directory.replace(ImmutableList.of(endpoint(true)), new StorePosition(1, 50));
+        directory.replace(ImmutableList.of(ENGINE), new StorePosition(2, 40));
+        LiveEndpoint laterRun = endpoint("engine-1", false, 9);
+        directory.replace(ImmutableList.of(laterRun), new StorePosition(2, 41));
+        assertEquals(ImmutableList.of(laterRun), active.get());
+    }
+
+    /** Without a restart of the store, the endpoint itself has written that it is ready again. */
+    @Test
+    void leavingRunMayBecomeReadyWithinAnEra() {
+        directory.replace(ImmutableList.of(endpoint(true)), 50);
+        directory.replace(ImmutableList.of(ENGINE), 51);
+        assertEquals(ImmutableList.of(ENGINE), active.get());
+    }
+
     private static LiveEndpoint endpoint(boolean leaving) {
+        return endpoint("engine-1", leaving, 0);
+    }
+
+    private static LiveEndpoint endpoint(String id, boolean leaving, long startedAtMilliseconds) {
         return new LiveEndpoint(
-                "engine-1",
+                id,
                 new ServiceName("model"),
                 HostAndPort.fromParts("10.0.0.1", 80),
                 new FailureDomain("oviedo", new Region("asturias")),
                 4,
                 leaving,
-                1);
+                1,
+                startedAtMilliseconds);
     }
 }
