--- a/relay/src/main/java/org/cowslippick/relay/state/EndpointDirectory.java
+++ b/relay/src/main/java/org/cowslippick/relay/state/EndpointDirectory.java
@@ -20,7 +20,7 @@
  * that time. Only registered endpoints are passed on to other instances, which apply grace periods of their own:
  * otherwise an endpoint would outlive the grace period of the instance that kept it.
  *
- * <p>A newer era of the store counts as an outage, and endpoint runs that were leaving before it stay so.
+ * <p>A newer era of the store counts as an outage; what its copy says of runs is corrected by what is known.
  */
 public final class EndpointDirectory {
 
@@ -33,7 +33,7 @@
 
     private final TimerService timer;
     private final Consumer<ImmutableList<LiveEndpoint>> consumer;
-    private final LeavingRuns leavingRuns = new LeavingRuns();
+    private final EndpointRuns runs = new EndpointRuns();
     private ImmutableMap<String, LiveEndpoint> registered = ImmutableMap.of();
     private ImmutableMap<String, LiveEndpoint> active = ImmutableMap.of();
     private ImmutableMap<String, KeptEndpoint> kept = ImmutableMap.of();
@@ -112,8 +112,8 @@
 
     private void apply(ImmutableList<LiveEndpoint> entries, StorePosition read, String source) {
         boolean isNewEra = read.isOfNewerEraThan(position);
-        ImmutableList<LiveEndpoint> marked = leavingRuns.markLeaving(entries, read.era());
-        leavingRuns.record(marked, read.era(), timer.nanoTime());
+        ImmutableList<LiveEndpoint> corrected = runs.correct(entries, read.era());
+        runs.record(corrected, read.era(), timer.nanoTime());
         if (isNewEra) {
             LOGGER.warn(LogLine.of("store-era-changed")
                     .with("before", position.era())
@@ -122,7 +122,7 @@
                     .with("source", source));
             startGracePeriod();
         }
-        ImmutableMap<String, LiveEndpoint> received = Maps.uniqueIndex(marked, LiveEndpoint::id);
+        ImmutableMap<String, LiveEndpoint> received = Maps.uniqueIndex(corrected, LiveEndpoint::id);
         if (isNewEra || !position.isRead() || !received.equals(registered)) {
             position = read;
             registered = received;
--- a/relay/src/test/java/org/cowslippick/relay/state/EndpointDirectoryTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/state/EndpointDirectoryTest.java
@@ -132,6 +132,21 @@
         assertEquals(ImmutableList.of(laterRun), active.get());
     }
 
+    /** The address of an endpoint that has been replaced since the copy is dead, or belongs to the later run. */
+    @Test
+    void earlierRunInTheCopyDoesNotReplaceTheKnownOne() {
+        LiveEndpoint earlierRun = endpoint("engine-1", false, 5);
+        LiveEndpoint laterRun = endpoint("engine-1", false, 9);
+        directory.replace(ImmutableList.of(earlierRun), new StorePosition(1, 40));
+        directory.replace(ImmutableList.of(laterRun), new StorePosition(1, 50));
+        directory.replace(ImmutableList.of(earlierRun), new StorePosition(2, 41));
+        directory.replace(ImmutableList.of(earlierRun, OTHER_RUN), new StorePosition(2, 42));
+        assertEquals(ImmutableList.of(OTHER_RUN, laterRun), active.get());
+        directory.replace(ImmutableList.of(laterRun, OTHER_RUN), new StorePosition(2, 43));
+        timer.advance(Duration.ofSeconds(3));
+        assertEquals(ImmutableList.of(laterRun, OTHER_RUN), active.get());
+    }
+
     /** Without a restart of the store, the endpoint itself has written that it is ready again. */
     @Test
     void leavingRunMayBecomeReadyWithinAnEra() {
