--- a/platform/src/main/java/org/cowslippick/platform/BoundedJson.java
+++ b/relay/src/main/java/org/cowslippick/relay/json/BoundedJson.java
@@ -1,4 +1,4 @@
-package org.cowslippick.platform;
+package org.cowslippick.relay.json;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
@@ -20,7 +20,7 @@
  * many digits are read as null, so that one odd entry of a list does not make the others unreadable. It does without an
  * object mapper, whose setup is a noticeable part of the start of a process.
  */
-final class BoundedJson {
+public final class BoundedJson {
 
     /** Well above the depth of any value that is decoded. */
     private static final int MAXIMUM_DEPTH = 32;
@@ -40,7 +40,8 @@
 
     private BoundedJson() {}
 
-    static JsonNode read(String text) throws JsonProcessingException {
+    /** Reads a text; one without a value is a missing node. */
+    public static JsonNode read(String text) throws JsonProcessingException {
         try (JsonParser parser = FACTORY.createParser(text)) {
             parser.nextToken();
             return readValue(parser, 0);
@@ -51,7 +52,8 @@
         }
     }
 
-    static String write(JsonNode node) {
+    /** The text of a value. */
+    public static String write(JsonNode node) {
         StringWriter text = new StringWriter();
         try (JsonGenerator generator = FACTORY.createGenerator(text)) {
             writeValue(node, generator);
--- /dev/null
+++ b/relay/src/main/java/org/cowslippick/relay/json/package-info.java
@@ -0,0 +1,2 @@
+/** JSON that other writers contributed to. */
+package org.cowslippick.relay.json;
--- a/platform/src/main/java/org/cowslippick/platform/StoreEraReader.java
+++ b/relay/src/main/java/org/cowslippick/relay/state/StoreEraReader.java
@@ -1,4 +1,4 @@
-package org.cowslippick.platform;
+package org.cowslippick.relay.state;
 
 import com.google.common.primitives.Longs;
 import java.util.Optional;
@@ -6,17 +6,15 @@
 import org.cowslippick.relay.log.LogLine;
 import org.jboss.logging.Logger;
 
-/** Reads the header {@code Store-Era} of responses, and logs a malformed value once until another one comes. */
-final class StoreEraReader {
-
-    static final String HEADER = "Store-Era";
+/** Reads the header that names the era of the store, and logs a malformed value once until another one comes. */
+public final class StoreEraReader {
 
     private static final Logger LOGGER = Logger.getLogger("cowslippick.platform");
 
     private String lastMalformed = "";
 
     /** The era that the header names: 0 without a header, empty if it is malformed. */
-    OptionalLong read(Optional<String> header) {
+    public OptionalLong read(Optional<String> header) {
         if (header.isEmpty()) {
             return OptionalLong.of(0);
         }
--- a/platform/src/test/java/org/cowslippick/platform/BoundedJsonTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/json/BoundedJsonTest.java
@@ -1,4 +1,4 @@
-package org.cowslippick.platform;
+package org.cowslippick.relay.json;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
