--- a/platform/src/main/java/org/cowslippick/platform/Addresses.java
+++ b/fleet/src/main/java/org/cowslippick/fleet/http/Addresses.java
@@ -1,10 +1,10 @@
-package org.cowslippick.platform;
+package org.cowslippick.fleet.http;
 
 import com.google.common.net.HostAndPort;
 import com.google.common.net.InetAddresses;
 
 /** Checks addresses that other writers put into the store. */
-final class Addresses {
+public final class Addresses {
 
     private Addresses() {}
 
@@ -13,7 +13,7 @@
      *
      * @throws IllegalArgumentException if the text is anything else
      */
-    static HostAndPort parse(String text) {
+    public static HostAndPort parse(String text) {
         HostAndPort address = HostAndPort.fromString(text);
         if (!address.hasPort() || address.getPort() == 0 || !InetAddresses.isInetAddress(address.getHost())) {
             throw new IllegalArgumentException("\"" + text + "\" is not an IP address with a port");
--- a/relay/src/test/java/org/cowslippick/relay/peer/SlotFleet.java
+++ b/relay/src/test/java/org/cowslippick/relay/peer/SlotFleet.java
@@ -137,7 +137,7 @@
 
         private Node(int number) {
             this.number = number;
-            known = new InstanceDirectory(instance(number));
+            known = new InstanceDirectory(instance(number), timer);
             known.setSelfServing(true);
             known.replace(
                     IntStream.range(0, instances)
