--- a/scheduler/src/main/java/org/cowslippick/scheduler/engine/EngineMemory.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/engine/EngineMemory.java
@@ -21,6 +21,11 @@
         reservedTokens -= tokens;
     }
 
+    /** The tokens that the running requests may occupy together. */
+    public long reservedTokens() {
+        return reservedTokens;
+    }
+
     /**
      * Whether a request fits beside the others. One that is larger than the memory fits an empty engine only, which
      * refuses it itself.
--- a/scheduler/src/main/java/org/cowslippick/scheduler/engine/EngineSpeed.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/engine/EngineSpeed.java
@@ -43,6 +43,19 @@
         prompt.observe(corrected(nanosPerToken, prompt.orElse(pool.nanosPerPromptToken()), nowNanos));
     }
 
+    /**
+     * Records a time for each prompt token of which only bounds are known, as the engine may have had some of the tokens
+     * in its cache. Bounds that include the expected time tell nothing.
+     */
+    public void observePrompt(double lowestNanos, double highestNanos, long nowNanos) {
+        double expected = nanosPerPromptToken(nowNanos);
+        if (highestNanos <= expected || lowestNanos == highestNanos) {
+            observePrompt(highestNanos, nowNanos);
+        } else if (lowestNanos >= expected) {
+            observePrompt(lowestNanos, nowNanos);
+        }
+    }
+
     public void observeAnswer(double nanosPerToken) {
         answer.observe(nanosPerToken);
     }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/AnswerOutcome.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/AnswerOutcome.java
@@ -24,6 +24,11 @@
         return this == SOUND || this == BROKEN;
     }
 
+    /** Whether the endpoint's process may have ended, and with it what it kept in memory. */
+    boolean mayBeCrash() {
+        return this == UNREACHABLE || this == BROKEN;
+    }
+
     /** 1 for an outcome that counts against the endpoint, 0 for one that does not. */
     public double failureWeight() {
         return failureWeight;
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointLoad.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointLoad.java
@@ -8,10 +8,12 @@
 import org.cowslippick.scheduler.engine.EngineSpeed;
 import org.cowslippick.scheduler.engine.PoolSpeeds;
 import org.cowslippick.scheduler.limit.TokenBucket;
+import org.cowslippick.scheduler.prefix.KeptParts;
+import org.cowslippick.scheduler.prefix.KeptPartsBounds;
 
 /**
  * The load, observed speed and recent failures of one endpoint. Prompt speed is the time to the first token divided by
- * the prompt tokens that had to be processed before it.
+ * the prompt tokens that had to be processed before it; tokens that the endpoint is believed to keep are not charged.
  */
 final class EndpointLoad {
 
@@ -36,14 +38,16 @@
     private EndpointNotices.Known notices = EndpointNotices.Known.NOTHING;
     private final InFlightDispatches inFlight;
     private final EngineSpeed speed;
+    private final KeptParts kept;
     private double failureShare;
     private long failedAtNanos;
     private long ejectedUntilNanos;
     private long ejectionNanos = INITIAL_EJECTION_NANOS;
 
-    EndpointLoad(LiveEndpoint endpoint, PoolSpeeds pool, long nowNanos) {
+    EndpointLoad(LiveEndpoint endpoint, PoolSpeeds pool, KeptPartsBounds keptBounds, long nowNanos) {
         this.endpoint = endpoint;
         this.speed = new EngineSpeed(pool);
+        this.kept = new KeptParts(keptBounds);
         this.inFlight = new InFlightDispatches(nowNanos);
         this.failedAtNanos = nowNanos;
         this.ejectedUntilNanos = nowNanos;
@@ -53,10 +57,11 @@
         return endpoint;
     }
 
-    void setEndpoint(LiveEndpoint newEndpoint) {
+    void setEndpoint(LiveEndpoint newEndpoint, long nowNanos) {
         if (!newEndpoint.isSameRun(endpoint)) {
             rateLimit = Optional.empty();
             allowance = Optional.empty();
+            kept.forget(nowNanos);
             speed.restarted(newEndpoint.address().equals(endpoint.address()));
         }
         endpoint = newEndpoint;
@@ -166,7 +171,15 @@
         if (request.promptTokens() == 0) {
             return (long) (callNanos(nowNanos) * (1.0 + (double) inFlight.size() / endpoint.slots()));
         }
-        return (long) ((inFlight.pendingWork() + work(request)) * nanosPerPromptToken(nowNanos));
+        double unread = work(request) - keptTokens(request, nowNanos);
+        return (long) ((inFlight.pendingWork() + unread) * nanosPerPromptToken(nowNanos));
+    }
+
+    /** The tokens at the beginning of the prompt that the engine is believed to keep, and so need not process. */
+    long keptTokens(SlotRequest request, long nowNanos) {
+        return request.promptParts().isEmpty()
+                ? 0
+                : Math.min(request.promptTokens(), kept.tokens(request.promptParts(), nowNanos));
     }
 
     private double callNanos(long nowNanos) {
@@ -183,7 +196,7 @@
         return overdue.isEmpty()
                 ? learnt
                 : Math.max(
-                        learnt, overdue.get().ageNanos(nowNanos) / overdue.get().workToFirstToken());
+                        learnt, overdue.get().ageNanos(nowNanos) / overdue.get().maximumWorkToFirstToken());
     }
 
     /** The expected time from the first to the last token. */
@@ -210,22 +223,31 @@
         if (request.maximumPauseNanos() == 0 || inFlight.answering() == 0) {
             return false;
         }
-        double promptTokens = Math.min(inFlight.pendingWork() + request.promptTokens(), (double)
-                (PROMPT_TOKENS_PER_STEP * request.tokensPerEvent()));
+        double unread = inFlight.pendingWork() + request.promptTokens() - keptTokens(request, nowNanos);
+        double promptTokens = Math.min(unread, (double) (PROMPT_TOKENS_PER_STEP * request.tokensPerEvent()));
         return promptTokens * nanosPerPromptToken(nowNanos) + request.tokensPerEvent() * speed.nanosPerAnswerToken()
                 > request.maximumPauseNanos();
     }
 
     void start(SlotRequest request, long nowNanos) {
         allowance.ifPresent(bucket -> bucket.add(-1));
+        long keptTokens = keptTokens(request, nowNanos);
+        double work = work(request) - keptTokens;
+        double workToFirstToken = inFlight.pendingWork() + work;
+        double maximumWork = workToFirstToken + inFlight.pendingKeptTokens() + keptTokens;
+        long predictedNanos = (long) (predictedNanos(request, nowNanos) * (maximumWork / workToFirstToken));
+        kept.recordUse(request.promptParts(), nowNanos);
         inFlight.add(
                 request.key(),
                 new Dispatch(
-                        work(request),
-                        inFlight.pendingWork() + work(request),
+                        work,
+                        keptTokens,
+                        workToFirstToken,
+                        maximumWork,
                         memoryTokens(request),
-                        predictedNanos(request, nowNanos),
+                        predictedNanos,
                         nowNanos));
+        kept.evict(inFlight.memoryTokens(), nowNanos);
     }
 
     /** Adds a request that has been running for an unknown time, so its time to first token is not used as a sample. */
@@ -240,8 +262,11 @@
 
     /** Records the first token of a request, which implies that its prompt has been processed. */
     void recordAnswerStart(SlotRequest request, long nowNanos) {
-        inFlight.startAnswer(request.key(), nowNanos)
-                .ifPresent(dispatch -> observeFirstEvent(request, dispatch, nowNanos));
+        inFlight.startAnswer(request.key(), nowNanos).ifPresent(dispatch -> {
+            observeFirstEvent(request, dispatch, nowNanos);
+            kept.recordRead(request.promptParts(), dispatch.startedAtNanos(), nowNanos);
+            kept.evict(inFlight.memoryTokens(), nowNanos);
+        });
     }
 
     private void observeFirstEvent(SlotRequest request, Dispatch dispatch, long nowNanos) {
@@ -249,7 +274,10 @@
         if (request.promptTokens() == 0) {
             speed.observeCall((double) elapsedNanos, nowNanos);
         } else {
-            speed.observePrompt(elapsedNanos / dispatch.workToFirstToken(), nowNanos);
+            speed.observePrompt(
+                    elapsedNanos / dispatch.maximumWorkToFirstToken(),
+                    elapsedNanos / dispatch.workToFirstToken(),
+                    nowNanos);
         }
     }
 
@@ -266,6 +294,9 @@
         } else if (dispatch.isWholeAnswer() && outcome == AnswerOutcome.SOUND && request.answerTokens() > 0) {
             speed.observeAnswer((double) (nowNanos - dispatch.answerStartedAtNanos()) / request.answerTokens());
         }
+        if (outcome.mayBeCrash()) {
+            kept.forget(nowNanos);
+        }
         recordOutcome(outcome, nowNanos);
     }
 
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointPool.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointPool.java
@@ -10,6 +10,7 @@
 import java.util.function.ToLongFunction;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.scheduler.engine.PoolSpeeds;
+import org.cowslippick.scheduler.prefix.KeptPartsBounds;
 
 /** The endpoints of one slot queue: which of them may be used now, and which is the best for a request. */
 final class EndpointPool {
@@ -35,12 +36,14 @@
 
     private int firstCompared;
     private final PoolSpeeds speeds = new PoolSpeeds();
+    private final KeptPartsBounds keptBounds = new KeptPartsBounds();
     private boolean isOwner = true;
     private long memoryTokens;
 
     /** Sets the tokens that each engine of the pool can hold; 0 if unknown. */
     void setMemoryTokens(long tokens) {
         memoryTokens = tokens;
+        keptBounds.setMemoryTokens(tokens);
     }
 
     /** Sets whether this instance is the designated owner, which alone uses endpoints with a rate limit. */
@@ -57,9 +60,10 @@
         ImmutableSet<String> ids = current.stream().map(LiveEndpoint::id).collect(ImmutableSet.toImmutableSet());
         endpoints.keySet().retainAll(ids);
         current.forEach(endpoint -> endpoints
-                .computeIfAbsent(endpoint.id(), _id -> new EndpointLoad(endpoint, speeds, nowNanos))
-                .setEndpoint(endpoint));
+                .computeIfAbsent(endpoint.id(), _id -> new EndpointLoad(endpoint, speeds, keptBounds, nowNanos))
+                .setEndpoint(endpoint, nowNanos));
         all = ImmutableList.copyOf(endpoints.values());
+        keptBounds.setEngines(all.size());
     }
 
     /** Whether there is no endpoint that takes new requests, now or later. */
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/InFlightDispatches.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/InFlightDispatches.java
@@ -13,6 +13,7 @@
     private final Map<SlotKey, Dispatch> dispatches = new HashMap<>();
     private final EngineMemory memory = new EngineMemory();
     private double pendingWork;
+    private long pendingKeptTokens;
     private int unanswered;
     private long latestAnsweredStartNanos;
 
@@ -48,6 +49,16 @@
         return pendingWork;
     }
 
+    /** The further prompt tokens of the requests without a first event that the engine is believed to keep. */
+    long pendingKeptTokens() {
+        return pendingKeptTokens;
+    }
+
+    /** The tokens that the requests may occupy in the memory of the engine. */
+    long memoryTokens() {
+        return memory.reservedTokens();
+    }
+
     boolean hasMemoryFor(long tokens, long capacityTokens) {
         return memory.fits(tokens, capacityTokens);
     }
@@ -65,6 +76,7 @@
         memory.reserve(dispatch.memoryTokens());
         if (!dispatch.answerStarted()) {
             pendingWork += dispatch.work();
+            pendingKeptTokens += dispatch.keptTokens();
             unanswered++;
             findOldestUnanswered();
         }
@@ -99,6 +111,7 @@
     /** Without unanswered requests the sum is exactly 0, whatever was lost in adding and subtracting. */
     private void answered(Dispatch dispatch) {
         unanswered--;
+        pendingKeptTokens -= dispatch.keptTokens();
         pendingWork = unanswered == 0 ? 0 : Math.max(0, pendingWork - dispatch.work());
     }
 
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotRequest.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotRequest.java
@@ -1,8 +1,10 @@
 package org.cowslippick.scheduler.slot;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import org.cowslippick.core.world.OrganisationName;
+import org.cowslippick.scheduler.prefix.PromptPart;
 
 /**
  * A request for a slot.
@@ -23,6 +25,7 @@
  * @param excludedEndpoints the endpoints that the request was already sent to
  * @param organisation the caller's organisation; empty for anonymous callers
  * @param connectedEndpoints endpoints to which the asking instance has an idle connection that the request may use
+ * @param promptParts the first parts of the prompt, in its order; empty if the request names none
  */
 public record SlotRequest(
         SlotKey key,
@@ -41,7 +44,48 @@
         long expiresAtNanos,
         ImmutableSet<String> excludedEndpoints,
         Optional<OrganisationName> organisation,
-        ImmutableSet<String> connectedEndpoints) {
+        ImmutableSet<String> connectedEndpoints,
+        ImmutableList<PromptPart> promptParts) {
+
+    /** Creates a request that names no parts of its prompt. */
+    public SlotRequest(
+            SlotKey key,
+            int rank,
+            int routeRank,
+            long fingerprint,
+            long promptTokens,
+            long answerTokens,
+            boolean isCallerRetry,
+            long maximumPauseNanos,
+            int tokensPerEvent,
+            long arrivedAtNanos,
+            long onTimeUntilNanos,
+            long queueDeadlineNanos,
+            long retryQueueDeadlineNanos,
+            long expiresAtNanos,
+            ImmutableSet<String> excludedEndpoints,
+            Optional<OrganisationName> organisation,
+            ImmutableSet<String> connectedEndpoints) {
+        this(
+                key,
+                rank,
+                routeRank,
+                fingerprint,
+                promptTokens,
+                answerTokens,
+                isCallerRetry,
+                maximumPauseNanos,
+                tokensPerEvent,
+                arrivedAtNanos,
+                onTimeUntilNanos,
+                queueDeadlineNanos,
+                retryQueueDeadlineNanos,
+                expiresAtNanos,
+                excludedEndpoints,
+                organisation,
+                connectedEndpoints,
+                ImmutableList.of());
+    }
 
     /** Creates a request of an anonymous caller by an instance without connections. */
     public SlotRequest(
@@ -108,6 +152,7 @@
                 expiresAtNanos,
                 excludedEndpoints,
                 organisation,
-                connectedEndpoints);
+                connectedEndpoints,
+                promptParts);
     }
 }
--- a/scheduler/src/test/java/org/cowslippick/scheduler/slot/ConnectionPreferenceTest.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/slot/ConnectionPreferenceTest.java
@@ -15,6 +15,7 @@
 import org.cowslippick.core.world.Region;
 import org.cowslippick.core.world.ServiceName;
 import org.cowslippick.scheduler.engine.PoolSpeeds;
+import org.cowslippick.scheduler.prefix.KeptPartsBounds;
 import org.cowslippick.scheduler.slot.ConnectionReplay.Kind;
 import org.cowslippick.scheduler.slot.ConnectionReplay.Result;
 import org.junit.jupiter.api.Test;
@@ -72,7 +73,7 @@
     /** A request without time to spare goes to the fastest endpoint. */
     @Test
     void theAdvantageIsNoLongerThanTheSlack() {
-        EndpointLoad load = new EndpointLoad(endpoint(0), new PoolSpeeds(), 0);
+        EndpointLoad load = new EndpointLoad(endpoint(0), new PoolSpeeds(), new KeptPartsBounds(), 0);
         SlotRequest request = request(1, "engine-0", Duration.ofMillis(81));
         assertEquals(Duration.ofMillis(1).toNanos(), ConnectionPreference.advantageNanos(load, request, 0));
         assertEquals(
