--- a/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
@@ -104,6 +104,9 @@
             return;
         }
         progress.times().granted(now());
+        progress.setKeptTokens(grant.keptTokens());
+        context.metrics().count(RelayEvent.PROMPT_TOKENS, request.promptTokens());
+        context.metrics().count(RelayEvent.PROMPT_TOKENS_KEPT, grant.keptTokens());
         Attempt newAttempt = new Attempt(context, this, grant);
         attempt = Optional.of(newAttempt);
         progress.triedEndpoints().add(grant.endpoint().id());
@@ -227,7 +230,7 @@
         context.metrics()
                 .recordRequest(times.measurement(
                         result, admission.rank(), admission.route().kind(), now()));
-        RequestLog.ended(request, admission, result, status, progress.triedEndpoints(), progress.cause(), times, now());
+        RequestLog.ended(request, admission, result, status, progress, now());
         failure.ifPresent(exchange::fail);
     }
 
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/RequestLog.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/RequestLog.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.Optional;
-import java.util.Set;
 import org.cowslippick.core.error.Failure;
 import org.cowslippick.relay.log.LogLine;
 import org.cowslippick.relay.message.CallerRequest;
@@ -38,13 +37,12 @@
             Admission admission,
             String result,
             int status,
-            Set<String> sentTo,
-            String cause,
-            RequestTimes times,
+            RequestProgress progress,
             long nowNanos) {
         if (result.equals(ANSWERED) && Math.floorMod(request.attemptId().hashCode(), SUCCESSES_PER_LINE) != 0) {
             return;
         }
+        RequestTimes times = progress.times();
         LOGGER.info(LogLine.of("request")
                 .with("id", request.attemptId())
                 .with("result", result)
@@ -63,9 +61,10 @@
                 .with("remainingMs", request.remainingMilliseconds().orElse(-1L))
                 .with("targetMs", admission.route().target().toMillis())
                 .with("promptTokens", request.promptTokens())
+                .with("keptTokens", progress.keptTokens())
                 .with("sharedParts", String.join(",", request.sharedParts()))
-                .with("sentTo", String.join(",", sentTo))
-                .with("cause", cause)
+                .with("sentTo", String.join(",", progress.triedEndpoints()))
+                .with("cause", progress.cause())
                 .with("waitedMs", milliseconds(times.waited()))
                 .with("firstMs", milliseconds(times.first()))
                 .with("longestPauseMs", times.longestPause().toMillis())
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/RequestProgress.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/RequestProgress.java
@@ -11,6 +11,7 @@
     private final EventScanner events = new EventScanner();
     private final RequestTimes times;
     private String cause = "";
+    private long keptTokens;
     private boolean mayHaveRun;
     private boolean responseStarted;
 
@@ -40,6 +41,15 @@
         cause = newCause;
     }
 
+    /** The prompt tokens that the last endpoint was expected to keep from earlier requests. */
+    long keptTokens() {
+        return keptTokens;
+    }
+
+    void setKeptTokens(long tokens) {
+        keptTokens = tokens;
+    }
+
     /** Whether an endpoint may have executed the request. */
     boolean mayHaveRun() {
         return mayHaveRun;
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/RequestTerms.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/RequestTerms.java
@@ -1,5 +1,6 @@
 package org.cowslippick.relay.forwarding;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -74,7 +75,8 @@
                 expiresAtNanos,
                 ImmutableSet.copyOf(progress.triedEndpoints()),
                 admission.organisation().map(OrganisationAccess::name),
-                context.connections().connectedEndpoints(admission.service(), route.allowsRetryAfterStart()));
+                context.connections().connectedEndpoints(admission.service(), route.allowsRetryAfterStart()),
+                request.promptTokens() > 0 ? request.promptParts() : ImmutableList.of());
     }
 
     Dispatch dispatch(LiveEndpoint endpoint, RequestProgress progress, long nowNanos) {
--- a/relay/src/main/java/org/cowslippick/relay/message/CallerRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/message/CallerRequest.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import java.util.Optional;
+import org.cowslippick.scheduler.prefix.PromptPart;
 
 /**
  * A request of a caller with its complete body.
@@ -16,6 +17,7 @@
  * @param fingerprint equal for all attempts of a caller at the same request
  * @param remainingMilliseconds how long the caller still waits, if stated
  * @param sharedParts ids of the parts of the prompt that other requests may share, in the order of the prompt
+ * @param promptParts the first parts of the prompt with their lengths, in the order of the prompt
  * @param declaredTokens sum of prompt and answer tokens, -1 if not stated
  */
 public record CallerRequest(
@@ -30,6 +32,7 @@
         long fingerprint,
         Optional<Long> remainingMilliseconds,
         ImmutableList<String> sharedParts,
+        ImmutableList<PromptPart> promptParts,
         long promptTokens,
         long answerTokens,
         long declaredTokens,
--- a/relay/src/main/java/org/cowslippick/relay/message/RequestReader.java
+++ b/relay/src/main/java/org/cowslippick/relay/message/RequestReader.java
@@ -6,6 +6,7 @@
 import com.google.common.hash.HashFunction;
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
+import com.google.common.primitives.Ints;
 import com.google.common.primitives.Longs;
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
@@ -16,6 +17,7 @@
 import java.nio.ByteBuffer;
 import java.util.List;
 import java.util.Optional;
+import org.cowslippick.scheduler.prefix.PromptPart;
 
 /** Extracts what the relay needs from a request, and removes hop-by-hop headers from requests and responses. */
 public final class RequestReader {
@@ -45,6 +47,9 @@
     /** Equal on all instances, as a caller may retry at another one. */
     private static final HashFunction FINGERPRINT_HASH = Hashing.murmur3_128();
 
+    /** Equal on all instances, as the owner of a pool compares parts of requests of all. */
+    private static final HashFunction PART_ID_HASH = Hashing.murmur3_128();
+
     private final HeaderNames names;
     private final RequestHeadValidator headValidator;
 
@@ -86,6 +91,7 @@
                 fingerprint(head, body),
                 Optional.ofNullable(headers.get(names.remainingTime())).map(Longs::tryParse),
                 sharedParts(headers.get(names.promptParts(), "")),
+                promptParts(headers.get(names.promptParts(), "")),
                 prompt,
                 Math.min(hint, maximumOutput),
                 tokens.isEmpty() ? -1 : prompt + maximumOutput,
@@ -102,6 +108,25 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
+    /** A part without a valid length ends the list, as those behind it count only with all before them. */
+    private static ImmutableList<PromptPart> promptParts(String promptParts) {
+        return COMMA_SPLITTER
+                .splitToStream(promptParts)
+                .limit(PromptPart.MAXIMUM_PARTS)
+                .map(RequestReader::promptPart)
+                .takeWhile(Optional::isPresent)
+                .map(Optional::orElseThrow)
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private static Optional<PromptPart> promptPart(String part) {
+        String id = partId(part);
+        return Optional.ofNullable(Ints.tryParse(part.substring(Math.min(part.length(), id.length() + 1))))
+                .filter(tokens -> tokens >= 0 && !id.isEmpty() && id.length() <= MAXIMUM_PART_ID_CHARACTERS)
+                .map(tokens ->
+                        new PromptPart(PART_ID_HASH.hashUnencodedChars(id).asLong(), tokens));
+    }
+
     private static String partId(String part) {
         int colon = part.indexOf(':');
         return colon < 0 ? part : part.substring(0, colon);
--- a/relay/src/main/java/org/cowslippick/relay/metrics/RelayEvent.java
+++ b/relay/src/main/java/org/cowslippick/relay/metrics/RelayEvent.java
@@ -14,6 +14,9 @@
     KEPT_CONNECTION_LOST(
             "endpoint_kept_connections_lost",
             "Kept connections that ended after a request, without any byte of a response."),
+    PROMPT_TOKENS("prompt_tokens", "Prompt tokens of dispatches."),
+    PROMPT_TOKENS_KEPT(
+            "prompt_tokens_expected_kept", "Prompt tokens of dispatches that the endpoint was expected to keep."),
     ENDPOINT_REFUSED("endpoint_refusals", "Requests that an endpoint refused without running them."),
     ENDPOINT_LEAVING("endpoint_leaving_notices", "Responses whose endpoint said that it leaves."),
     ENDPOINT_PAUSE("endpoint_pause_notices", "Refusals whose endpoint asked for a pause."),
--- a/relay/src/main/java/org/cowslippick/relay/metrics/RelayMetrics.java
+++ b/relay/src/main/java/org/cowslippick/relay/metrics/RelayMetrics.java
@@ -40,7 +40,11 @@
     private final Map<String, Gauge> gauges = new LinkedHashMap<>();
 
     public void count(RelayEvent event) {
-        events.merge(event, 1L, Long::sum);
+        count(event, 1);
+    }
+
+    public void count(RelayEvent event, long amount) {
+        events.merge(event, amount, Long::sum);
     }
 
     /** Counts a request that was refused on arrival. */
--- a/relay/src/main/java/org/cowslippick/relay/peer/FleetSlotBroker.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/FleetSlotBroker.java
@@ -401,7 +401,12 @@
                 .get()
                 .listener
                 .granted(new SlotDecision.Granted(
-                        localRequest.get().request, endpoint, message.predictedNanos(), ownersLimit, message.speed()));
+                        localRequest.get().request,
+                        endpoint,
+                        message.predictedNanos(),
+                        message.keptTokens(),
+                        ownersLimit,
+                        message.speed()));
     }
 
     private void onRefused(PeerIdentity sender, SlotMessages.Refused message) {
@@ -448,6 +453,7 @@
                             grant.request().key().number(),
                             grant.endpoint(),
                             grant.predictedNanos(),
+                            grant.keptTokens(),
                             grant.rateLimit().map(limit -> SlotMessages.AgedRateLimit.of(limit, timer.nanoTime())),
                             grant.speed()));
         }
--- a/relay/src/main/java/org/cowslippick/relay/peer/SlotMessages.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/SlotMessages.java
@@ -1,5 +1,6 @@
 package org.cowslippick.relay.peer;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import org.cowslippick.core.routing.LiveEndpoint;
@@ -12,6 +13,7 @@
 import org.cowslippick.fleet.wire.PeerMessage;
 import org.cowslippick.fleet.wire.Priority;
 import org.cowslippick.scheduler.engine.SpeedEstimate;
+import org.cowslippick.scheduler.prefix.PromptPart;
 import org.cowslippick.scheduler.slot.AnswerOutcome;
 import org.cowslippick.scheduler.slot.EndpointNotice;
 import org.cowslippick.scheduler.slot.EndpointRateLimit;
@@ -74,7 +76,8 @@
             long remainingLifetimeNanos,
             ImmutableSet<String> excluded,
             Optional<OrganisationName> organisation,
-            ImmutableSet<String> connected) {
+            ImmutableSet<String> connected,
+            ImmutableList<PromptPart> promptParts) {
 
         static RelativeSlotRequest of(SlotRequest request, long nowNanos) {
             return new RelativeSlotRequest(
@@ -93,7 +96,8 @@
                     request.expiresAtNanos() - nowNanos,
                     request.excludedEndpoints(),
                     request.organisation(),
-                    request.connectedEndpoints());
+                    request.connectedEndpoints(),
+                    request.promptParts());
         }
 
         SlotRequest toRequest(SlotKey key, long nowNanos) {
@@ -114,7 +118,8 @@
                     nowNanos + remainingLifetimeNanos,
                     excluded,
                     organisation,
-                    connected);
+                    connected,
+                    promptParts);
         }
 
         private static void encode(RelativeSlotRequest request, MessageWriter writer) {
@@ -134,6 +139,10 @@
             writer.writeList(request.excluded, (id, list) -> list.writeString(id));
             writer.writeString(request.organisation.map(OrganisationName::value).orElse(ANONYMOUS));
             writer.writeList(request.connected, (id, list) -> list.writeString(id));
+            writer.writeList(request.promptParts, (part, list) -> {
+                list.writeLong(part.id());
+                list.writeLong(part.tokens());
+            });
         }
 
         private static RelativeSlotRequest decode(MessageReader reader) {
@@ -155,7 +164,8 @@
                     Optional.of(reader.readString())
                             .filter(name -> !name.equals(ANONYMOUS))
                             .map(OrganisationName::new),
-                    ImmutableSet.copyOf(reader.readList(MessageReader::readString)));
+                    ImmutableSet.copyOf(reader.readList(MessageReader::readString)),
+                    reader.readList(part -> new PromptPart(part.readLong(), part.readInt())));
         }
     }
 
@@ -325,6 +335,7 @@
     /**
      * Grants a slot of the endpoint to the request.
      *
+     * @param keptTokens the tokens of the prompt that the owner believes the endpoint to keep
      * @param limit what the owner knows of the endpoint's rate limit; empty if it has never named one
      * @param speed the speed that the owner assumes of the endpoint, which the receiver passes on to a new owner
      */
@@ -333,6 +344,7 @@
             long number,
             LiveEndpoint endpoint,
             long predictedNanos,
+            long keptTokens,
             Optional<AgedRateLimit> limit,
             SpeedEstimate speed)
             implements PeerMessage {
@@ -342,6 +354,7 @@
             writer.writeLong(message.number);
             StateSyncMessages.encodeEndpoint(message.endpoint, writer);
             writer.writeLong(message.predictedNanos);
+            writer.writeLong(message.keptTokens);
             writer.writeBoolean(message.limit.isPresent());
             message.limit.ifPresent(limit -> AgedRateLimit.encode(limit, writer));
             encodeSpeed(message.speed, writer);
@@ -353,6 +366,7 @@
                     reader.readLong(),
                     StateSyncMessages.decodeEndpoint(reader),
                     reader.readLong(),
+                    reader.readLong(),
                     reader.readBoolean() ? Optional.of(AgedRateLimit.decode(reader)) : Optional.empty(),
                     decodeSpeed(reader));
         }
--- a/relay/src/test/java/org/cowslippick/relay/RelayMetricsTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayMetricsTest.java
@@ -48,6 +48,20 @@
         }
     }
 
+    /** The second prompt begins with a part of the first one, which its only engine has read. */
+    @Test
+    void scrapeShowsThePromptTokensThatEnginesWereExpectedToKeep() throws Exception {
+        try (ScriptedEngine engine = new ScriptedEngine(SOUND, SOUND, SOUND);
+                RelayHarness relay = new RelayHarness(engine)) {
+            relay.call("GET", "/look/1", "X-Tokens: 6000,0\r\nX-Parts: a1:5000,b2:1000\r\n", "");
+            relay.call("GET", "/look/2", "X-Tokens: 6000,0\r\nX-Parts: a1:5000,c3:1000\r\n", "");
+            relay.call("GET", "/look/3", "X-Tokens: 6000,0\r\n", "");
+            String text = relay.metrics();
+            assertShows(text, "cowslippick_prompt_tokens_total 18000.0");
+            assertShows(text, "cowslippick_prompt_tokens_expected_kept_total 5000.0");
+        }
+    }
+
     private static void assertShows(String text, String line) {
         assertTrue(
                 Pattern.compile("^" + Pattern.quote(line) + "$", Pattern.MULTILINE)
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotDecision.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotDecision.java
@@ -13,6 +13,7 @@
      * The request is granted a slot and must be sent to the endpoint now.
      *
      * @param predictedNanos the expected time to the first token
+     * @param keptTokens the tokens of the prompt that the endpoint is believed to keep, which are not in the prediction
      * @param rateLimit what the granting queue knows of the endpoint's rate limit; empty if it has never named one
      * @param speed the speed that the granting queue assumes of the endpoint
      */
@@ -20,6 +21,7 @@
             SlotRequest request,
             LiveEndpoint endpoint,
             long predictedNanos,
+            long keptTokens,
             Optional<EndpointRateLimit> rateLimit,
             SpeedEstimate speed)
             implements SlotDecision {}
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -277,6 +277,7 @@
         SlotRequest request = placement.request();
         EndpointLoad load = placement.load();
         long predicted = load.predictedNanos(request, nowNanos);
+        long keptTokens = load.keptTokens(request, nowNanos);
         waiting.take(request, nowNanos);
         load.start(request, nowNanos);
         running.put(request.key(), new Running(request, load));
@@ -286,6 +287,7 @@
                 request,
                 load.endpoint(),
                 predicted,
+                keptTokens,
                 load.rateLimit(),
                 load.speed().estimate());
     }
