--- a/relay/src/main/java/org/cowslippick/relay/slot/LocalSlotQueues.java
+++ b/relay/src/main/java/org/cowslippick/relay/slot/LocalSlotQueues.java
@@ -34,6 +34,7 @@
     private final Map<SlotKey, SlotListener> listeners = new HashMap<>();
     private Predicate<SlotPool> owns = _pool -> true;
     private ToLongFunction<ServiceName> memoryTokens = _service -> 0;
+    private Duration promptReuseWindow = Duration.ZERO;
     private boolean advanceScheduled;
     private ImmutableListMultimap<SlotPool, LiveEndpoint> endpoints = ImmutableListMultimap.of();
 
@@ -51,6 +52,11 @@
         memoryTokens = memory;
     }
 
+    /** Sets how long after its last use an endpoint is expected to keep a part of a prompt; by default not at all. */
+    public void setPromptReuseWindow(Duration window) {
+        promptReuseWindow = window;
+    }
+
     /** Records what a response of an endpoint said about the present load of its machine. */
     public void recordMachineLoad(SlotPool pool, SlotKey key, double percent, long asOfNanos) {
         queue(pool).recordMachineLoad(key, percent, asOfNanos);
@@ -171,6 +177,7 @@
         SlotQueue queue = queues.computeIfAbsent(pool, _pool -> new SlotQueue());
         queue.setOwner(owns.test(pool));
         queue.setMemoryTokens(memoryTokens.applyAsLong(pool.service()));
+        queue.setPromptReuseWindow(promptReuseWindow.toNanos());
         return queue;
     }
 
--- a/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
@@ -90,6 +90,7 @@
     private static final FailureDomain DOMAIN = new FailureDomain("oviedo", REGION);
     private static final OrganisationName ORGANISATION = new OrganisationName("portalia");
     private static final long ENGINE_MEMORY_TOKENS = 465_349;
+    private static final Duration PROMPT_REUSE_WINDOW = Duration.ofSeconds(10);
     private static final int KEPT_PER_ENDPOINT = 4;
     private static final int ITERATIONS_TO_CATCH_UP = 3;
     private static final int READ_TIMEOUT_MILLISECONDS = 4_000;
@@ -113,6 +114,7 @@
         LoopMonitor monitor = new LoopMonitor(loop, clock);
         LocalSlotQueues localQueues = new LocalSlotQueues(timer);
         localQueues.setMemory(_service -> ENGINE_MEMORY_TOKENS);
+        localQueues.setPromptReuseWindow(PROMPT_REUSE_WINDOW);
         EndpointConnections connections = new EndpointConnections(
                 loops, timer, monitor, NAMES.attemptId(), REGION, _service -> KEPT_PER_ENDPOINT, metrics::count);
         this.forwarder = new RequestForwarder(new ForwardingContext(
--- a/scheduler/src/main/java/org/cowslippick/scheduler/prefix/KeptParts.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/prefix/KeptParts.java
@@ -34,7 +34,7 @@
 
     /** The tokens at the beginning of the prompt that are kept; a part counts only with all parts before it. */
     public long tokens(ImmutableList<PromptPart> prompt, long nowNanos) {
-        if (parts.isEmpty() || bounds.memoryTokens() == 0) {
+        if (parts.isEmpty() || !bounds.isEnabled()) {
             return 0;
         }
         long found = beginningTokens(prompt, nowNanos);
@@ -68,7 +68,7 @@
      * @param sentAtNanos when it was sent; what was sent before the last loss of the engine's memory is ignored
      */
     public void recordRead(ImmutableList<PromptPart> prompt, long sentAtNanos, long nowNanos) {
-        if (bounds.memoryTokens() > 0 && !(wasForgotten && sentAtNanos - forgottenAtNanos <= 0)) {
+        if (bounds.isEnabled() && !(wasForgotten && sentAtNanos - forgottenAtNanos <= 0)) {
             // In reverse, so that a part is evicted before those that it needs.
             prompt.reverse().forEach(part -> put(part, nowNanos));
         }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/prefix/KeptPartsBounds.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/prefix/KeptPartsBounds.java
@@ -1,7 +1,5 @@
 package org.cowslippick.scheduler.prefix;
 
-import java.time.Duration;
-
 /** What bounds the parts of prompts that the engines of one pool are believed to keep. */
 public final class KeptPartsBounds {
 
@@ -11,10 +9,8 @@
     /** Over all engines of a pool: 63 engines with 6 requests a second and 4 parts each name 15,120 in the window. */
     private static final int MAXIMUM_PARTS_PER_POOL = 16_384;
 
-    /** Reading a part again later than this after its last use costs nothing, so later beliefs are of little use. */
-    private static final long REUSE_WINDOW_NANOS = Duration.ofSeconds(10).toNanos();
-
     private long memoryTokens;
+    private long reuseWindowNanos;
     private int engines = 1;
 
     /** Sets the tokens that each engine can hold; with 0 (unknown) no engine is believed to keep anything. */
@@ -22,11 +18,20 @@
         memoryTokens = tokens;
     }
 
+    /** Sets how long after its last use a part counts as kept. */
+    public void setReuseWindow(long nanos) {
+        reuseWindowNanos = nanos;
+    }
+
     /** Sets the number of engines that share the bound of the pool. */
     public void setEngines(int count) {
         engines = Math.max(1, count);
     }
 
+    boolean isEnabled() {
+        return memoryTokens > 0 && reuseWindowNanos > 0;
+    }
+
     long memoryTokens() {
         return memoryTokens;
     }
@@ -37,6 +42,6 @@
     }
 
     boolean isOutdated(long usedAtNanos, long nowNanos) {
-        return nowNanos - usedAtNanos > REUSE_WINDOW_NANOS;
+        return nowNanos - usedAtNanos > reuseWindowNanos;
     }
 }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointPool.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointPool.java
@@ -46,6 +46,10 @@
         keptBounds.setMemoryTokens(tokens);
     }
 
+    void setPromptReuseWindow(long nanos) {
+        keptBounds.setReuseWindow(nanos);
+    }
+
     /** Sets whether this instance is the designated owner, which alone uses endpoints with a rate limit. */
     void setOwner(boolean owner) {
         isOwner = owner;
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -48,6 +48,11 @@
         endpoints.setMemoryTokens(tokens);
     }
 
+    /** Sets how long after its last use an endpoint is expected to keep a part of a prompt; by default not at all. */
+    public void setPromptReuseWindow(long nanos) {
+        endpoints.setPromptReuseWindow(nanos);
+    }
+
     /** Records what a response of an endpoint said about the present load of its machine. */
     public void recordMachineLoad(SlotKey key, double percent, long asOfNanos) {
         Optional.ofNullable(running.get(key))
--- a/scheduler/src/test/java/org/cowslippick/scheduler/prefix/KeptPartsTest.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/prefix/KeptPartsTest.java
@@ -21,6 +21,10 @@
     private final KeptPartsBounds bounds = new KeptPartsBounds();
     private final KeptParts kept = new KeptParts(bounds);
 
+    KeptPartsTest() {
+        bounds.setReuseWindow(10 * SECOND);
+    }
+
     /** An engine cannot use a part whose predecessors it must read again. */
     @Test
     void partCountsOnlyWithAllPartsBeforeIt() {
--- a/scheduler/src/test/java/org/cowslippick/scheduler/slot/KeptPartsPlacementTest.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/slot/KeptPartsPlacementTest.java
@@ -32,6 +32,7 @@
     private static final int OWN_TOKENS = 500;
     private static final long FULL_NANOS = (SHARED_TOKENS + OWN_TOKENS + OVERHEAD_TOKENS) * NANOS_PER_TOKEN;
     private static final long SHORT_NANOS = (OWN_TOKENS + OVERHEAD_TOKENS) * NANOS_PER_TOKEN;
+    private static final long REUSE_WINDOW_NANOS = Duration.ofSeconds(10).toNanos();
     private static final int HOT = 1;
 
     private SlotQueue queue = new SlotQueue();
@@ -134,6 +135,14 @@
         assertEquals(FULL_NANOS, predicted(HOT));
     }
 
+    @Test
+    void nothingIsCountedWithoutAReuseWindow() {
+        register(1, 400_000);
+        queue.setPromptReuseWindow(0);
+        read(HOT);
+        assertEquals(FULL_NANOS, predicted(HOT));
+    }
+
     @Test
     void nothingIsCountedWithoutAKnownMemory() {
         register(1, 0);
@@ -143,6 +152,7 @@
 
     private void register(int count, long memoryTokens) {
         queue.setMemoryTokens(memoryTokens);
+        queue.setPromptReuseWindow(REUSE_WINDOW_NANOS);
         queue.replaceEndpoints(
                 IntStream.range(0, count)
                         .mapToObj(index -> endpoint(index, 0))
