--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointPool.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointPool.java
@@ -10,6 +10,7 @@
 import java.util.function.ToLongFunction;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.scheduler.engine.PoolSpeeds;
+import org.cowslippick.scheduler.prefix.KeptPartsBounds;
 import org.cowslippick.scheduler.rollout.VersionGate;
 
 /** The endpoints of one slot queue: which of them may be used now, and which is the best for a request. */
@@ -37,12 +38,18 @@
     private int firstCompared;
     private final PoolSpeeds speeds = new PoolSpeeds();
     private final VersionGate versions = new VersionGate();
+    private final KeptPartsBounds keptBounds = new KeptPartsBounds();
     private boolean isOwner = true;
     private long memoryTokens;
 
     /** Sets the tokens that each engine of the pool can hold; 0 if unknown. */
     void setMemoryTokens(long tokens) {
         memoryTokens = tokens;
+        keptBounds.setMemoryTokens(tokens);
+    }
+
+    void setPromptReuseWindow(long nanos) {
+        keptBounds.setReuseWindow(nanos);
     }
 
     /** Sets whether this instance is the designated owner, which alone uses endpoints with a rate limit. */
@@ -65,10 +72,11 @@
         ImmutableSet<String> ids = current.stream().map(LiveEndpoint::id).collect(ImmutableSet.toImmutableSet());
         endpoints.keySet().retainAll(ids);
         current.forEach(endpoint -> endpoints
-                .computeIfAbsent(endpoint.id(), _id -> new EndpointLoad(endpoint, speeds, nowNanos))
-                .setEndpoint(endpoint));
+                .computeIfAbsent(endpoint.id(), _id -> new EndpointLoad(endpoint, speeds, keptBounds, nowNanos))
+                .setEndpoint(endpoint, nowNanos));
         all = ImmutableList.copyOf(endpoints.values());
         versions.setEndpoints(current, nowNanos);
+        keptBounds.setEngines(all.size());
     }
 
     /** Whether there is no endpoint that takes new requests, now or later. */
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -49,6 +49,11 @@
         endpoints.setMemoryTokens(tokens);
     }
 
+    /** Sets how long after its last use an endpoint is expected to keep a part of a prompt; by default not at all. */
+    public void setPromptReuseWindow(long nanos) {
+        endpoints.setPromptReuseWindow(nanos);
+    }
+
     /** Records what a response of an endpoint said about the present load of its machine. */
     public void recordMachineLoad(SlotKey key, double percent, long asOfNanos) {
         Optional.ofNullable(running.get(key))
@@ -303,6 +308,7 @@
         SlotRequest request = placement.request();
         EndpointLoad load = placement.load();
         long predicted = load.predictedNanos(request, nowNanos);
+        long keptTokens = load.keptTokens(request, nowNanos);
         waiting.take(request, nowNanos);
         load.start(request, nowNanos);
         versions()
@@ -314,6 +320,7 @@
                 request,
                 load.endpoint(),
                 predicted,
+                keptTokens,
                 load.rateLimit(),
                 load.speed().estimate());
     }
