--- a/relay/src/main/java/org/cowslippick/relay/caller/CallerConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/CallerConnection.java
@@ -47,11 +47,9 @@
     /** A closing connection reads on for this long: closing with unread bytes would reset it and lose the response. */
     private static final Duration LINGERING_CLOSE_TIMEOUT = Duration.ofMillis(500);
 
-    /** A response up to this size is read to its end although its caller reads slowly, as engines end unread ones. */
-    private static final long MAXIMUM_BUFFERED_BYTES = 1 << 20;
-
     private final CallerConnections connections;
     private final ConnectionMeter meter;
+    private final ResponseBackpressure backpressure;
     private final ArrayDeque<HttpObject> pipelined = new ArrayDeque<>();
     private Optional<RequestBody> body = Optional.empty();
     private Optional<HttpRequest> head = Optional.empty();
@@ -60,7 +58,6 @@
     private boolean responding;
     private boolean handlingRequest;
     private boolean closing;
-    private boolean isResponseHeldBack;
     private int unflushedResponses;
     private boolean readingHead;
     private long timeoutStartNanos;
@@ -70,6 +67,7 @@
     CallerConnection(CallerConnections connections) {
         this.connections = connections;
         this.meter = new ConnectionMeter(connections.clientMemory(), connections.timer(), this);
+        this.backpressure = new ResponseBackpressure(meter);
         this.timeoutStartNanos = connections.timer().nanoTime();
     }
 
@@ -113,25 +111,8 @@
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext _context) {
         meter.update();
-        if (context.channel().isWritable()) {
-            if (isResponseHeldBack) {
-                isResponseHeldBack = false;
-                listener.ifPresent(present -> present.writabilityChanged(true));
-            }
-            readPipelined();
-        } else {
-            holdBackIfTooLarge();
-        }
-    }
-
-    /** Stops reading the response from its engine once too much of it is buffered for a slow caller. */
-    private void holdBackIfTooLarge() {
-        if (!isResponseHeldBack
-                && !context.channel().isWritable()
-                && !meter.hasRoomForResponse(MAXIMUM_BUFFERED_BYTES)) {
-            isResponseHeldBack = true;
-            listener.ifPresent(present -> present.writabilityChanged(false));
-        }
+        backpressure.update(context.channel(), listener);
+        readPipelined();
     }
 
     @Override
@@ -216,7 +197,7 @@
     /** Rejects the request, or closes the connection, if the header or idle timeout has passed. */
     void enforceTimeouts(long nowNanos) {
         meter.update();
-        if (isResponseUnread(nowNanos)) {
+        if (backpressure.isUnread(connections.limits().idleTimeout(), nowNanos)) {
             context.close();
         }
         if (responding || closing) {
@@ -233,19 +214,12 @@
         }
     }
 
-    /** Whether the caller has not taken any of a buffered response for the idle timeout. */
-    private boolean isResponseUnread(long nowNanos) {
-        return meter.pendingBytes() > 0
-                && nowNanos - meter.progressNanos()
-                        > connections.limits().idleTimeout().toNanos();
-    }
-
     void write(HttpObject message) {
         if (message instanceof HttpMessage responseHead) {
             setConnectionHeader(responseHead);
         }
         context.writeAndFlush(message);
-        holdBackIfTooLarge();
+        backpressure.update(context.channel(), listener);
     }
 
     /** Writes the end of a response; the connection then reads the next request, or closes. */
@@ -256,7 +230,7 @@
         listener = Optional.empty();
         responding = false;
         releaseBody();
-        isResponseHeldBack = false;
+        backpressure.responseEnded();
         timeoutStartNanos = connections.timer().nanoTime();
         unflushedResponses++;
         ChannelFuture written = context.writeAndFlush(message);
