--- a/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
+++ b/relay/src/main/java/org/cowslippick/relay/endpoint/EndpointConnection.java
@@ -284,8 +284,8 @@
             return;
         }
         boolean requestFlushed = bodyWriter.filter(BodyWriter::isFlushed).isPresent();
-        // The decoder also ends such a response after a reset, even if only a failed write has shown it. Nor is an end before
-        // the whole request is written a sign of a whole response.
+        // The decoder also ends such a response after a reset, even if only a failed write has shown it. An end
+        // before the whole request is written is no sign of a whole response either.
         if (endsWithConnection && !(decoder.hasInputEnded() && requestFlushed)) {
             return;
         }
