--- a/relay/src/main/java/org/cowslippick/relay/forwarding/Attempt.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/Attempt.java
@@ -77,8 +77,6 @@
         reportRateLimit(received);
         EndpointNoticeReader.read(received, context.names(), context.timer().nanoTime())
                 .ifPresent(this::reportNotice);
-        context.engineLoads()
-                .read(endpoint, received, percent -> context.slots().reportMachineLoad(slot, percent));
         response.start(received);
     }
 
