SignalHandlers moves from relay to fleet

The entry needs it and may not depend on relay. Both depend on fleet, the lowest module whose classes may touch the process; core and scheduler do no I/O. Only the package changes.

--- a/relay/src/main/java/org/cowslippick/relay/process/SignalHandlers.java
+++ b/fleet/src/main/java/org/cowslippick/fleet/process/SignalHandlers.java
@@ -1,4 +1,4 @@
-package org.cowslippick.relay.process;
+package org.cowslippick.fleet.process;
 
 import java.lang.reflect.Proxy;
 
--- /dev/null
+++ b/fleet/src/main/java/org/cowslippick/fleet/process/package-info.java
@@ -0,0 +1,2 @@
+/** Signals of the process. */
+package org.cowslippick.fleet.process;
--- a/relay/src/main/java/org/cowslippick/relay/process/package-info.java
+++ b/relay/src/main/java/org/cowslippick/relay/process/package-info.java
@@ -1,2 +1,2 @@
-/** Signals of the process, and its orderly end. */
+/** The orderly end of the process. */
 package org.cowslippick.relay.process;
