--- a/relay/src/main/java/org/cowslippick/relay/process/package-info.java
+++ b/relay/src/main/java/org/cowslippick/relay/process/package-info.java
@@ -1,2 +1,2 @@
-/** The orderly end of the process. */
+/** Start and orderly end of the process. */
 package org.cowslippick.relay.process;
