--- a/relay/src/main/java/org/cowslippick/relay/process/package-info.java
+++ b/relay/src/main/java/org/cowslippick/relay/process/package-info.java
@@ -1,2 +1,2 @@
-/** Signals of the process, and its orderly end. */
+/** Start and orderly end of the process. */
 package org.cowslippick.relay.process;
