--- a/relay/src/main/java/org/cowslippick/relay/forwarding/Attempt.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/Attempt.java
@@ -59,6 +59,7 @@
         if (!progress.mayHaveRun() && progress.triedEndpoints().size() == 1) {
             context.retries().recordRequest(request.admission().service());
         }
+        progress.sentToVersions().add(endpoint.softwareVersion());
         mayHaveRunEarlier = progress.mayHaveRun();
         progress.setMayHaveRun(true);
     }
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/RequestLog.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/RequestLog.java
@@ -5,11 +5,12 @@
 import org.cowslippick.core.error.Failure;
 import org.cowslippick.relay.log.LogLine;
 import org.cowslippick.relay.message.CallerRequest;
+import org.cowslippick.relay.message.StreamResumption;
 import org.jboss.logging.Logger;
 
 /**
- * Access log with one line per finished request. Failures and refusals are always logged, successful requests are
- * sampled by a hash of their id, so that an id is logged either on every instance or on none.
+ * Access log with one line per finished request. Failures and refusals are always logged, successful requests
+ * that do not resume a stream are sampled by a hash of their id, so that an id is logged either on every instance or on none.
  */
 final class RequestLog {
 
@@ -39,7 +40,8 @@
             int status,
             RequestProgress progress,
             long nowNanos) {
-        if (result.equals(ANSWERED) && Math.floorMod(request.attemptId().hashCode(), SUCCESSES_PER_LINE) != 0) {
+        boolean isSampled = Math.floorMod(request.attemptId().hashCode(), SUCCESSES_PER_LINE) == 0;
+        if (result.equals(ANSWERED) && request.resumption().isEmpty() && !isSampled) {
             return;
         }
         RequestTimes times = progress.times();
@@ -64,6 +66,13 @@
                 .with("keptTokens", progress.keptTokens())
                 .with("sharedParts", String.join(",", request.sharedParts()))
                 .with("sentTo", String.join(",", progress.triedEndpoints()))
+                .with("versions", String.join(",", progress.sentToVersions()))
+                .with(
+                        "resumes",
+                        request.resumption().map(StreamResumption::firstAttempt).orElse(""))
+                .with(
+                        "lastEvent",
+                        request.resumption().map(StreamResumption::lastEvent).orElse(""))
                 .with("cause", progress.cause())
                 .with("waitedMs", milliseconds(times.waited()))
                 .with("firstMs", milliseconds(times.first()))
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/RequestProgress.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/RequestProgress.java
@@ -1,6 +1,7 @@
 package org.cowslippick.relay.forwarding;
 
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
 
@@ -8,6 +9,7 @@
 final class RequestProgress {
 
     private final Set<String> triedEndpoints = new HashSet<>();
+    private final Set<String> sentToVersions = new LinkedHashSet<>();
     private final EventScanner events = new EventScanner();
     private final RequestTimes times;
     private String cause = "";
@@ -24,6 +26,11 @@
         return triedEndpoints;
     }
 
+    /** The software versions of the endpoints that the request was sent to. */
+    Set<String> sentToVersions() {
+        return sentToVersions;
+    }
+
     EventScanner events() {
         return events;
     }
--- a/relay/src/main/java/org/cowslippick/relay/message/CallerRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/message/CallerRequest.java
@@ -18,6 +18,7 @@
  * @param remainingMilliseconds how long the caller still waits, if stated
  * @param sharedParts ids of the parts of the prompt that other requests may share, in the order of the prompt
  * @param promptParts the first parts of the prompt with their lengths, in the order of the prompt
+ * @param resumption the stream that the request resumes; empty if it begins one, or is no stream
  * @param declaredTokens sum of prompt and answer tokens, -1 if not stated
  */
 public record CallerRequest(
@@ -35,6 +36,7 @@
         ImmutableList<PromptPart> promptParts,
         long promptTokens,
         long answerTokens,
+        Optional<StreamResumption> resumption,
         long declaredTokens,
         long arrivedAtNanos) {
 
--- a/relay/src/main/java/org/cowslippick/relay/message/HeaderNames.java
+++ b/relay/src/main/java/org/cowslippick/relay/message/HeaderNames.java
@@ -19,6 +19,7 @@
  * @param promptParts the parts of the prompt in order, as comma-separated {@code id:tokens}; the last is not shared
  * @param lengthHint the caller's estimate of the answer tokens
  * @param lastEvent id of the event after which a stream is resumed
+ * @param resumedAttempt the caller's attempt that brought the first event of the stream that a request resumes
  * @param reservedHeaders headers that only the relay may set; they are removed from callers' requests
  */
 public record HeaderNames(
@@ -36,10 +37,12 @@
         String promptParts,
         String lengthHint,
         String lastEvent,
+        String resumedAttempt,
         ImmutableSet<String> reservedHeaders) {
 
     /** Headers on which the relay decides, and which a caller's request has once at most. */
     public ImmutableSet<String> singleRequestHeaders() {
-        return ImmutableSet.of(attemptId, remainingTime, credential, tokenCounts, promptParts, lengthHint);
+        return ImmutableSet.of(
+                attemptId, remainingTime, credential, tokenCounts, promptParts, lengthHint, lastEvent, resumedAttempt);
     }
 }
--- a/relay/src/main/java/org/cowslippick/relay/message/RequestReader.java
+++ b/relay/src/main/java/org/cowslippick/relay/message/RequestReader.java
@@ -94,10 +94,16 @@
                 promptParts(headers.get(names.promptParts(), "")),
                 prompt,
                 Math.min(hint, maximumOutput),
+                resumption(headers),
                 tokens.isEmpty() ? -1 : prompt + maximumOutput,
                 nowNanos);
     }
 
+    private Optional<StreamResumption> resumption(HttpHeaders headers) {
+        return Optional.ofNullable(headers.get(names.lastEvent()))
+                .map(lastEvent -> new StreamResumption(headers.get(names.resumedAttempt(), ""), lastEvent));
+    }
+
     private static ImmutableList<String> sharedParts(String promptParts) {
         List<String> parts = COMMA_SPLITTER.splitToList(promptParts);
         return parts.stream()
--- a/relay/src/main/java/org/cowslippick/relay/state/EndpointDirectory.java
+++ b/relay/src/main/java/org/cowslippick/relay/state/EndpointDirectory.java
@@ -184,6 +184,7 @@
                 .with("address", endpoint.address().toString())
                 .with("leaving", endpoint.leaving())
                 .with("version", endpoint.version())
+                .with("softwareVersion", endpoint.softwareVersion())
                 .with("source", source)
                 .with("era", position.era())
                 .with("revision", position.revision());
@@ -192,7 +193,8 @@
     /** One short entry per endpoint, as the first list would otherwise take a line for each. */
     private static String describe(ImmutableMap<String, LiveEndpoint> endpoints) {
         return endpoints.values().stream()
-                .map(endpoint -> endpoint.id() + "=" + endpoint.address() + (endpoint.leaving() ? " leaving" : ""))
+                .map(endpoint -> endpoint.id() + "=" + endpoint.address() + " " + endpoint.softwareVersion()
+                        + (endpoint.leaving() ? " leaving" : ""))
                 .collect(Collectors.joining(","));
     }
 
--- a/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
@@ -81,6 +81,7 @@
             "X-Parts",
             "X-Hint",
             "X-Last-Event",
+            "X-Resumes",
             ImmutableSet.of("X-Organisation", "X-Expect", "X-Hold"));
 
     private static final long CLIENT_MEMORY_BYTES = 80L << 20;
--- a/relay/src/test/java/org/cowslippick/relay/caller/CallerConnectionTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/caller/CallerConnectionTest.java
@@ -58,6 +58,7 @@
             "X-Parts",
             "X-Hint",
             "X-Last-Event",
+            "X-Resumes",
             ImmutableSet.of());
 
     private static final int LARGE_BODY_BYTES = 4 << 20;
--- a/relay/src/test/java/org/cowslippick/relay/forwarding/EngineLoadReaderTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/forwarding/EngineLoadReaderTest.java
@@ -21,7 +21,7 @@
 class EngineLoadReaderTest {
 
     private static final HeaderNames NAMES =
-            new HeaderNames("", "", "", "", "", "", "", "", "", "X-Load", "", "", "", "", ImmutableSet.of());
+            new HeaderNames("", "", "", "", "", "", "", "", "", "X-Load", "", "", "", "", "", ImmutableSet.of());
     private static final LiveEndpoint ENDPOINT = new LiveEndpoint(
             "engine-0",
             new ServiceName("model"),
--- a/relay/src/test/java/org/cowslippick/relay/message/RequestReaderTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/message/RequestReaderTest.java
@@ -35,6 +35,7 @@
             "X-Parts",
             "X-Hint",
             "X-Last-Event",
+            "X-Resumes",
             ImmutableSet.of()));
 
     @Test
