--- a/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntFunction;
 import org.cowslippick.core.routing.CallerLimits;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.routing.OrganisationAccess;
@@ -105,10 +106,17 @@
     private final RelayMetrics metrics = new RelayMetrics();
 
     RelayHarness(ScriptedEngine... engines) throws IOException, InterruptedException {
-        this(Arrays.stream(engines).map(ScriptedEngine::address).toArray(HostAndPort[]::new));
+        this(
+                Arrays.stream(engines).map(ScriptedEngine::address).toArray(HostAndPort[]::new),
+                index -> engines[index].softwareVersion());
     }
 
     RelayHarness(HostAndPort... engines) throws IOException, InterruptedException {
+        this(engines, _index -> "");
+    }
+
+    private RelayHarness(HostAndPort[] engines, IntFunction<String> softwareVersions)
+            throws IOException, InterruptedException {
         SingleThreadEventLoop loop = (SingleThreadEventLoop) loops.next();
         TimerService timer = new EventLoopTimerService(loop);
         this.clock = new LoopClock(timer);
@@ -143,7 +151,8 @@
         server.bindFuture().sync();
         ImmutableList.Builder<LiveEndpoint> endpoints = ImmutableList.builder();
         for (int index = 0; index < engines.length; index++) {
-            endpoints.add(new LiveEndpoint("engine-" + index, SERVICE, engines[index], DOMAIN, 4, false, 1));
+            endpoints.add(new LiveEndpoint(
+                    "engine-" + index, SERVICE, engines[index], DOMAIN, 4, false, 1, 0, softwareVersions.apply(index)));
         }
         loops.next()
                 .submit(() -> localQueues.replaceEndpoints(endpoints.build()))
--- a/relay/src/test/java/org/cowslippick/relay/ScriptedEngine.java
+++ b/relay/src/test/java/org/cowslippick/relay/ScriptedEngine.java
@@ -61,6 +61,7 @@
     private final AtomicInteger endlessBytes = new AtomicInteger();
     private final AtomicInteger lateWrites = new AtomicInteger();
 
+    private volatile String softwareVersion = "";
     private volatile String crashText = "";
     private volatile boolean repeatsResponses;
     private volatile boolean readsNothing;
@@ -76,6 +77,16 @@
         thread.start();
     }
 
+    /** Sets the software version that the engine is registered with; to be called before the relay starts. */
+    ScriptedEngine withSoftwareVersion(String version) {
+        softwareVersion = version;
+        return this;
+    }
+
+    String softwareVersion() {
+        return softwareVersion;
+    }
+
     /** Adds a response to requests that resume a stream. */
     ScriptedEngine withContinuation(String script) {
         continuations.add(script);
