--- a/platform/src/main/java/org/cowslippick/platform/InstanceRegistry.java
+++ b/relay/src/main/java/org/cowslippick/relay/state/InstanceRegistry.java
@@ -1,4 +1,4 @@
-package org.cowslippick.platform;
+package org.cowslippick.relay.state;
 
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -6,6 +6,7 @@
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.stream.Stream;
@@ -16,49 +17,51 @@
 import org.cowslippick.core.world.Region;
 import org.cowslippick.fleet.http.Addresses;
 import org.cowslippick.relay.log.LogLine;
-import org.cowslippick.relay.state.InstanceDirectory;
-import org.cowslippick.relay.state.StorePosition;
+import org.cowslippick.relay.store.ObjectStore;
+import org.cowslippick.relay.store.ObjectStore.WriteOutcome;
+import org.cowslippick.relay.store.ObjectStore.WriteResult;
+import org.cowslippick.relay.store.StoreListener;
+import org.cowslippick.relay.store.StoreObject;
 import org.jboss.logging.Logger;
 
-/** Registers this instance in the store, under an object kind of the project's own, and reads the other instances. */
+/** Registers this instance in the store, under a kind of the project's own, and reads the other instances. */
 @SuppressWarnings("FutureReturnValueIgnored")
-final class InstanceRegistry implements StoreListener {
+public final class InstanceRegistry implements StoreListener {
 
-    static final String KIND = "cowslippick-instances";
+    public static final String KIND = "cowslippick-instances";
 
     private static final Logger LOGGER = Logger.getLogger("cowslippick.platform");
-    private static final Duration REQUEST_TIMEOUT = Duration.ofSeconds(2);
     private static final long MINIMUM_RETRY_DELAY_MILLISECONDS = 200;
     private static final long MAXIMUM_RETRY_DELAY_MILLISECONDS = 800;
 
-    private final StoreWriter store;
+    private final ObjectStore store;
     private final TimerService timer;
     private final InstanceDirectory book;
     private boolean isDeregistering;
 
-    InstanceRegistry(StoreWriter store, TimerService timer, InstanceDirectory book) {
+    public InstanceRegistry(ObjectStore store, TimerService timer, InstanceDirectory book) {
         this.store = store;
         this.timer = timer;
         this.book = book;
     }
 
     /** Registers this instance, replacing a registration that an earlier run left behind or that an older copy holds. */
-    void register() {
+    public void register() {
         if (isDeregistering) {
             return;
         }
-        store.create(KIND, ownRegistration(), REQUEST_TIMEOUT).thenAccept(response -> {
-            if (response.isConflict()) {
+        store.create(KIND, ownName(), ownRegistration()).thenAccept(result -> {
+            if (result.outcome() == WriteOutcome.CONFLICT) {
                 replace();
-            } else if (!response.isSuccess()) {
-                retryLater(response);
+            } else if (!result.isApplied()) {
+                retryLater(result);
             }
         });
     }
 
-    CompletableFuture<StoreResponse> deregister() {
+    public CompletableFuture<WriteResult> deregister() {
         isDeregistering = true;
-        return store.remove(KIND, book.self().name().value(), REQUEST_TIMEOUT);
+        return store.remove(KIND, ownName());
     }
 
     @Override
@@ -76,37 +79,38 @@
     }
 
     private boolean isSelf(StoreObject object) {
-        return object.name().equals(book.self().name().value());
+        return object.name().equals(ownName());
     }
 
     private void replace() {
-        store.replace(KIND, book.self().name().value(), ownRegistration(), REQUEST_TIMEOUT)
-                .thenAccept(response -> {
-                    if (!response.isSuccess()) {
-                        retryLater(response);
-                    }
-                });
+        store.replace(KIND, ownName(), ownRegistration(), OptionalLong.empty()).thenAccept(result -> {
+            if (!result.isApplied()) {
+                retryLater(result);
+            }
+        });
     }
 
-    private void retryLater(StoreResponse response) {
-        LOGGER.warn(LogLine.of("registration-failed").with("cause", response.describe()));
+    private void retryLater(WriteResult result) {
+        LOGGER.warn(LogLine.of("registration-failed").with("cause", result.cause()));
         timer.schedule(
                 Duration.ofMillis(ThreadLocalRandom.current()
                         .nextLong(MINIMUM_RETRY_DELAY_MILLISECONDS, MAXIMUM_RETRY_DELAY_MILLISECONDS)),
                 this::register);
     }
 
+    private String ownName() {
+        return book.self().name().value();
+    }
+
     private ObjectNode ownRegistration() {
         Instance self = book.self();
-        ObjectNode object = JsonNodeFactory.instance.objectNode();
-        object.putObject("metadata").put("name", self.name().value());
-        object.putObject("spec")
+        return JsonNodeFactory.instance
+                .objectNode()
                 .put("callers", self.callerAddress().toString())
                 .put("peers", self.peerAddress().toString())
                 .put("failureDomain", self.failureDomain().name())
                 .put("region", self.region().name())
                 .put("processors", self.processors());
-        return object;
     }
 
     private static Optional<Instance> decode(StoreObject object) {
--- a/platform/src/main/java/org/cowslippick/platform/StoreListener.java
+++ b/relay/src/main/java/org/cowslippick/relay/store/StoreListener.java
@@ -1,10 +1,10 @@
-package org.cowslippick.platform;
+package org.cowslippick.relay.store;
 
 import com.google.common.collect.ImmutableCollection;
 import org.cowslippick.relay.state.StorePosition;
 
-/** Receives the objects of one kind from a {@link StoreWatch}. */
-interface StoreListener {
+/** Receives the objects of one kind that are watched. */
+public interface StoreListener {
 
     /** Receives all objects of the kind as of the store position. */
     void onSnapshot(ImmutableCollection<StoreObject> objects, StorePosition asOf);
--- a/platform/src/main/java/org/cowslippick/platform/VersionObjects.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/VersionObjects.java
@@ -1,4 +1,4 @@
-package org.cowslippick.platform;
+package org.cowslippick.relay.stream;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -6,88 +6,59 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.Streams;
-import java.time.Duration;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.cowslippick.core.world.ServiceName;
 import org.cowslippick.relay.log.LogLine;
-import org.cowslippick.relay.stream.RegisteredVersions;
-import org.cowslippick.relay.stream.VersionStore;
+import org.cowslippick.relay.store.ObjectStore;
+import org.cowslippick.relay.store.ObjectStore.WriteOutcome;
+import org.cowslippick.relay.store.ObjectStore.WriteResult;
+import org.cowslippick.relay.store.StoreObject;
 import org.jboss.logging.Logger;
 
 /** Keeps the registered versions in the store, in one object for each service. */
-final class VersionObjects implements VersionStore {
+public final class VersionObjects implements VersionStore {
 
-    static final String KIND = "cowslippick-versions";
+    public static final String KIND = "cowslippick-versions";
 
     private static final Logger LOGGER = Logger.getLogger("cowslippick.versions");
-    private static final Duration TIMEOUT = Duration.ofSeconds(1);
     private static final String VERSIONS = "versions";
 
-    private final StoreReader reader;
-    private final StoreWriter writer;
+    private final ObjectStore store;
     private final Set<String> unreadableNames = new HashSet<>();
 
-    VersionObjects(StoreReader reader, StoreWriter writer) {
-        this.reader = reader;
-        this.writer = writer;
+    public VersionObjects(ObjectStore store) {
+        this.store = store;
     }
 
     @Override
     public CompletableFuture<Optional<ImmutableList<RegisteredVersions>>> load() {
-        return loadPage("", ImmutableList.of());
+        return store.list(KIND).thenApply(listed -> listed.map(this::decode));
     }
 
     @Override
     public CompletableFuture<Result> write(RegisteredVersions versions) {
-        return send(versions).thenApply(response -> {
-            if (!response.isSuccess() && !response.isConflict()) {
-                logNotAnswered("versions-not-written", response);
+        return send(versions).thenApply(result -> {
+            if (result.outcome() == WriteOutcome.UNKNOWN || result.outcome() == WriteOutcome.MISSING) {
+                LOGGER.warn(LogLine.of("versions-not-written").with("cause", result.cause()));
             }
             return new Result(
-                    response.isSuccess(),
-                    Optional.of(response)
-                            .filter(StoreResponse::isConflict)
-                            .map(conflict -> StoreObject.parse(conflict.body()))
-                            .filter(object -> object.revision() > 0)
-                            .map(object -> decodeOrReplace(object, versions.service())));
+                    result.isApplied(), result.present().map(object -> decodeOrReplace(object, versions.service())));
         });
     }
 
-    private CompletableFuture<StoreResponse> send(RegisteredVersions versions) {
-        ObjectNode object = JsonNodeFactory.instance.objectNode();
-        ObjectNode metadata =
-                object.putObject("metadata").put("name", versions.service().value());
-        ObjectNode times = object.putObject("spec").putObject(VERSIONS);
+    private CompletableFuture<WriteResult> send(RegisteredVersions versions) {
+        ObjectNode spec = JsonNodeFactory.instance.objectNode();
+        ObjectNode times = spec.putObject(VERSIONS);
         versions.lastPresent().forEach(times::put);
-        if (versions.revision() == 0) {
-            return writer.create(KIND, object, TIMEOUT);
-        }
-        metadata.put("revision", versions.revision());
-        return writer.replace(KIND, versions.service().value(), object, TIMEOUT);
-    }
-
-    private CompletableFuture<Optional<ImmutableList<RegisteredVersions>>> loadPage(
-            String afterName, ImmutableList<StoreObject> before) {
-        return reader.list(KIND, afterName, TIMEOUT).thenCompose(response -> {
-            if (!response.isSuccess()) {
-                logNotAnswered("versions-not-loaded", response);
-                return CompletableFuture.completedFuture(Optional.empty());
-            }
-            ImmutableList<StoreObject> page = Streams.stream(response.body().path("items"))
-                    .map(StoreObject::parse)
-                    .collect(ImmutableList.toImmutableList());
-            ImmutableList<StoreObject> objects = ImmutableList.<StoreObject>builder()
-                    .addAll(before)
-                    .addAll(page)
-                    .build();
-            return response.body().path("hasMore").asBoolean() && !page.isEmpty()
-                    ? loadPage(page.get(page.size() - 1).name(), objects)
-                    : CompletableFuture.completedFuture(Optional.of(decode(objects)));
-        });
+        String name = versions.service().value();
+        return versions.revision() == 0
+                ? store.create(KIND, name, spec)
+                : store.replace(KIND, name, spec, OptionalLong.of(versions.revision()));
     }
 
     private ImmutableList<RegisteredVersions> decode(ImmutableList<StoreObject> objects) {
@@ -128,8 +99,4 @@
             return Optional.empty();
         }
     }
-
-    private static void logNotAnswered(String event, StoreResponse response) {
-        LOGGER.warn(LogLine.of(event).with("cause", response.describe()));
-    }
 }
