A stream is resumed only by the software version that began it

Callers saw: streams whose first part came from one software version and the rest from another, with nothing to show it (ORDER): after crashes of engines, and many after a kill of all instances.

Cause: placement did not look at the version, neither for streams that callers resume nor for the relay's own further attempts within a response, and nobody knew which version had begun a stream. Class: a fact about a request that only the process which began it knows, though the request outlives that process.

Change: a slot request names the version that it needs. The version is that of the engine that sent the first event. It is found in memory, by there being only one version, at other instances, or in the store, to which owners of pools write what they granted while versions are mixed. A version is in the store before its first engine serves streams, so an instance that has just started knows whether there was only one.

--- a/core/src/main/java/org/cowslippick/core/error/ErrorKind.java
+++ b/core/src/main/java/org/cowslippick/core/error/ErrorKind.java
@@ -21,6 +21,11 @@
     DEADLINE_UNREACHABLE(503, Outcome.NOT_RUN, Advice.RETRY_LATER, "The predicted answer time is after the deadline."),
     DEADLINE_PASSED_IN_QUEUE(504, Outcome.NOT_RUN, Advice.RETRY_LATER, "The deadline passed before dispatch."),
     NO_ENDPOINT(503, Outcome.NOT_RUN, Advice.RETRY_LATER, "No endpoint of the pool is usable."),
+    STREAM_ORIGIN_UNKNOWN(
+            503,
+            Outcome.NOT_RUN,
+            Advice.RETRY_LATER,
+            "It is unknown which software version began the stream, and only that one can resume it."),
     LINK_BUDGET_SPENT(503, Outcome.NOT_RUN, Advice.RETRY_LATER, "The link to the other region has no budget left."),
     POOL_OWNER_UNREACHABLE(503, Outcome.NOT_RUN, Advice.RETRY, "The entry that owns the pool did not answer."),
     ENTRY_DRAINING(503, Outcome.NOT_RUN, Advice.RETRY_ELSEWHERE, "The entry is leaving and takes no new requests."),
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/Attempt.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/Attempt.java
@@ -16,6 +16,7 @@
 import org.cowslippick.scheduler.slot.EndpointRateLimit;
 import org.cowslippick.scheduler.slot.SlotDecision;
 import org.cowslippick.scheduler.slot.SlotKey;
+import org.cowslippick.scheduler.stream.StreamOrigin;
 import org.jboss.logging.Logger;
 
 /** One dispatch of a request to one endpoint, with its slot, until the response has ended. */
@@ -149,6 +150,13 @@
         context.slots().release(slot, outcome);
     }
 
+    /** Binds the stream to the software version of the endpoint, as no other one can resume it. */
+    void recordStreamOrigin() {
+        progress.setStreamVersion(endpoint.softwareVersion());
+        request.stream().ifPresent(stream -> context.streams()
+                .recordOrigin(new StreamOrigin(endpoint.service(), stream, endpoint.softwareVersion())));
+    }
+
     /** Records that a part of the response is passed on to the caller. */
     void partForwarded() {
         context.slots().responseStarted(slot);
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
@@ -3,9 +3,11 @@
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.cowslippick.core.error.ErrorKind;
 import org.cowslippick.core.error.Failure;
 import org.cowslippick.core.routing.LiveEndpoint;
+import org.cowslippick.core.routing.RouteKind;
 import org.cowslippick.core.time.TimerService.Subscription;
 import org.cowslippick.relay.caller.CallerExchange;
 import org.cowslippick.relay.caller.CallerListener;
@@ -26,6 +28,9 @@
 
     private static final Duration RETRY_AFTER_REFUSAL = Duration.ofMillis(100);
 
+    /** Allows an instance that has just started to hear of others and of the store. */
+    private static final Duration RETRY_AFTER_UNKNOWN_ORIGIN = Duration.ofSeconds(1);
+
     private final ForwardingContext context;
     private final CallerRequest request;
     private final CallerExchange exchange;
@@ -51,11 +56,37 @@
 
     void start() {
         expiry = Optional.of(context.timer().schedule(Duration.ofNanos(terms.expiresAtNanos() - now()), this::expired));
-        if (!failIfQuarantined()) {
+        if (failIfQuarantined()) {
+            return;
+        }
+        boolean isResumption =
+                request.resumption().isPresent() && admission.route().kind() == RouteKind.EVENT_STREAM;
+        if (isResumption) {
+            context.streams().find(admission.service(), stream().orElseThrow(), this::resume);
+        } else {
             requestSlot();
         }
     }
 
+    /** Goes on once it is known which version has begun the stream, unless the request has ended meanwhile. */
+    private void resume(Optional<String> version) {
+        if (finished) {
+            return;
+        }
+        if (version.isEmpty()) {
+            progress.setCause("unknown which software version began the stream");
+            fail(ErrorKind.STREAM_ORIGIN_UNKNOWN, RETRY_AFTER_UNKNOWN_ORIGIN);
+            return;
+        }
+        progress.setStreamVersion(version.get());
+        requestSlot();
+    }
+
+    /** The stream that the request begins or resumes; empty if nobody can resume it. */
+    OptionalLong stream() {
+        return terms.stream();
+    }
+
     Admission admission() {
         return admission;
     }
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardingContext.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardingContext.java
@@ -8,6 +8,7 @@
 import org.cowslippick.relay.message.HeaderNames;
 import org.cowslippick.relay.metrics.RelayMetrics;
 import org.cowslippick.relay.slot.SlotBroker;
+import org.cowslippick.relay.stream.StreamVersions;
 import org.cowslippick.relay.time.LoopMonitor;
 
 /** The components that all forwarded requests share. */
@@ -22,4 +23,5 @@
         QuotaLimiter quotas,
         RetryBudget retries,
         RelayMetrics metrics,
-        EngineLoadReader engineLoads) {}
+        EngineLoadReader engineLoads,
+        StreamVersions streams) {}
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/RequestProgress.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/RequestProgress.java
@@ -16,6 +16,7 @@
     private long keptTokens;
     private boolean mayHaveRun;
     private boolean responseStarted;
+    private Optional<String> streamVersion = Optional.empty();
 
     RequestProgress(long arrivedAtNanos) {
         this.times = new RequestTimes(arrivedAtNanos);
@@ -75,6 +76,15 @@
         responseStarted = true;
     }
 
+    /** The software version that has begun the stream; empty if any may begin it. */
+    Optional<String> streamVersion() {
+        return streamVersion;
+    }
+
+    void setStreamVersion(String version) {
+        streamVersion = Optional.of(version);
+    }
+
     /** The last event of the stream that the caller has received; empty if the stream has not started. */
     Optional<String> lastForwardedEvent() {
         return events.lastId().filter(_id -> responseStarted);
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/RequestTerms.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/RequestTerms.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
+import java.util.OptionalLong;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.routing.OrganisationAccess;
 import org.cowslippick.core.routing.Route;
@@ -15,8 +16,11 @@
 import org.cowslippick.core.routing.RoutedService;
 import org.cowslippick.relay.endpoint.Dispatch;
 import org.cowslippick.relay.message.CallerRequest;
+import org.cowslippick.relay.stream.ResumableRoutes;
+import org.cowslippick.relay.stream.StreamIds;
 import org.cowslippick.scheduler.slot.SlotKey;
 import org.cowslippick.scheduler.slot.SlotRequest;
+import org.cowslippick.scheduler.stream.StreamTerms;
 
 /** The time limits of a request, and what it asks of the slot queue and of an endpoint. */
 final class RequestTerms {
@@ -76,7 +80,17 @@
                 ImmutableSet.copyOf(progress.triedEndpoints()),
                 admission.organisation().map(OrganisationAccess::name),
                 context.connections().connectedEndpoints(admission.service(), route.allowsRetryAfterStart()),
-                request.promptTokens() > 0 ? request.promptParts() : ImmutableList.of());
+                request.promptTokens() > 0 ? request.promptParts() : ImmutableList.of(),
+                new StreamTerms(stream(), progress.streamVersion()));
+    }
+
+    /** The stream that the request begins or resumes; empty if nobody can resume it. */
+    OptionalLong stream() {
+        return request.resumption()
+                .map(resumption -> OptionalLong.of(StreamIds.of(resumption.firstAttempt())))
+                .orElseGet(() -> ResumableRoutes.isResumable(admission.route())
+                        ? OptionalLong.of(StreamIds.of(request.attemptId()))
+                        : OptionalLong.empty());
     }
 
     Dispatch dispatch(LiveEndpoint endpoint, RequestProgress progress, long nowNanos) {
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/ResponseForwarder.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/ResponseForwarder.java
@@ -94,6 +94,7 @@
                 return;
             }
             progress.setResponseStarted();
+            attempt.recordStreamOrigin();
             request.exchange().startResponse(received.status(), RequestReader.responseHeaders(received.headers()));
         }
         progress.times().partForwarded(context.timer().nanoTime());
--- a/relay/src/main/java/org/cowslippick/relay/metrics/RelayEvent.java
+++ b/relay/src/main/java/org/cowslippick/relay/metrics/RelayEvent.java
@@ -20,6 +20,9 @@
     ENDPOINT_REFUSED("endpoint_refusals", "Requests that an endpoint refused without running them."),
     ENDPOINT_LEAVING("endpoint_leaving_notices", "Responses whose endpoint said that it leaves."),
     ENDPOINT_PAUSE("endpoint_pause_notices", "Refusals whose endpoint asked for a pause."),
+    STREAM_ORIGIN_FOUND("stream_origins_found", "Resumed streams whose software version was found."),
+    STREAM_ORIGIN_UNKNOWN(
+            "stream_origins_unknown", "Resumed streams that were refused, as nobody knows their software version."),
     CLIENT_EVICTED_FOR_MEMORY(
             "clients_evicted_for_memory", "Connections closed as the memory for clients was used up."),
     CLIENT_EVICTED_FOR_CONNECTIONS(
--- a/relay/src/main/java/org/cowslippick/relay/peer/FleetSlotBroker.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/FleetSlotBroker.java
@@ -117,7 +117,7 @@
 
     @Override
     public void request(ServiceName service, SlotRequest request, SlotListener listener) {
-        SlotPool pool = poolSelector.select(service, localQueues.pools(), this::load);
+        SlotPool pool = poolSelector.select(service, localQueues.pools(request.stream()), this::load);
         LocalRequest localRequest = new LocalRequest(pool, request, listener);
         localRequests.put(request.key(), localRequest);
         requestSlot(localRequest);
--- a/relay/src/main/java/org/cowslippick/relay/peer/SlotMessages.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/SlotMessages.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.world.OrganisationName;
 import org.cowslippick.core.world.Region;
@@ -21,6 +22,7 @@
 import org.cowslippick.scheduler.slot.SlotKey;
 import org.cowslippick.scheduler.slot.SlotPool;
 import org.cowslippick.scheduler.slot.SlotRequest;
+import org.cowslippick.scheduler.stream.StreamTerms;
 
 /**
  * Messages between the instance that serves a caller and the owner of a pool. Times are sent relative to the moment of
@@ -77,7 +79,8 @@
             ImmutableSet<String> excluded,
             Optional<OrganisationName> organisation,
             ImmutableSet<String> connected,
-            ImmutableList<PromptPart> promptParts) {
+            ImmutableList<PromptPart> promptParts,
+            StreamTerms stream) {
 
         static RelativeSlotRequest of(SlotRequest request, long nowNanos) {
             return new RelativeSlotRequest(
@@ -97,7 +100,8 @@
                     request.excludedEndpoints(),
                     request.organisation(),
                     request.connectedEndpoints(),
-                    request.promptParts());
+                    request.promptParts(),
+                    request.stream());
         }
 
         SlotRequest toRequest(SlotKey key, long nowNanos) {
@@ -119,7 +123,8 @@
                     excluded,
                     organisation,
                     connected,
-                    promptParts);
+                    promptParts,
+                    stream);
         }
 
         private static void encode(RelativeSlotRequest request, MessageWriter writer) {
@@ -143,6 +148,10 @@
                 list.writeLong(part.id());
                 list.writeLong(part.tokens());
             });
+            writer.writeBoolean(request.stream.stream().isPresent());
+            request.stream.stream().ifPresent(writer::writeLong);
+            writer.writeBoolean(request.stream.requiredVersion().isPresent());
+            request.stream.requiredVersion().ifPresent(writer::writeString);
         }
 
         private static RelativeSlotRequest decode(MessageReader reader) {
@@ -165,10 +174,17 @@
                             .filter(name -> !name.equals(ANONYMOUS))
                             .map(OrganisationName::new),
                     ImmutableSet.copyOf(reader.readList(MessageReader::readString)),
-                    reader.readList(part -> new PromptPart(part.readLong(), part.readInt())));
+                    reader.readList(part -> new PromptPart(part.readLong(), part.readInt())),
+                    decodeStream(reader));
         }
     }
 
+    private static StreamTerms decodeStream(MessageReader reader) {
+        return new StreamTerms(
+                reader.readBoolean() ? OptionalLong.of(reader.readLong()) : OptionalLong.empty(),
+                reader.readBoolean() ? Optional.of(reader.readString()) : Optional.empty());
+    }
+
     /** Requests a slot of the pool. */
     record Acquire(SlotPool pool, RelativeSlotRequest request) implements PeerMessage {
 
--- a/relay/src/main/java/org/cowslippick/relay/slot/LocalSlotQueues.java
+++ b/relay/src/main/java/org/cowslippick/relay/slot/LocalSlotQueues.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.ToLongFunction;
 import org.cowslippick.core.routing.LiveEndpoint;
@@ -25,6 +26,8 @@
 import org.cowslippick.scheduler.slot.SlotPool;
 import org.cowslippick.scheduler.slot.SlotQueue;
 import org.cowslippick.scheduler.slot.SlotRequest;
+import org.cowslippick.scheduler.stream.StreamOrigin;
+import org.cowslippick.scheduler.stream.StreamTerms;
 
 /** The slot queues that run on this instance, one per pool. All methods must be called on one event loop. */
 public final class LocalSlotQueues {
@@ -36,6 +39,7 @@
     private final Map<SlotPool, SlotQueue> queues = new HashMap<>();
     private final Map<SlotKey, SlotListener> listeners = new HashMap<>();
     private final VersionPlans versionPlans = new VersionPlans();
+    private Consumer<StreamOrigin> originListener = _origin -> {};
     private Predicate<SlotPool> owns = _pool -> true;
     private ToLongFunction<ServiceName> memoryTokens = _service -> 0;
     private Duration promptReuseWindow = Duration.ZERO;
@@ -61,6 +65,11 @@
         promptReuseWindow = window;
     }
 
+    /** Sets what is called with the origin of each stream whose slot these queues granted, possibly several times. */
+    public void setOriginListener(Consumer<StreamOrigin> listener) {
+        originListener = listener;
+    }
+
     /** Records what a response of an endpoint said about the present load of its machine. */
     public void recordMachineLoad(SlotPool pool, SlotKey key, double percent, long asOfNanos) {
         queue(pool).recordMachineLoad(key, percent, asOfNanos);
@@ -152,6 +161,7 @@
     /** Reports that the first part of the response has arrived. */
     public void responseStarted(SlotPool pool, SlotKey key) {
         queue(pool).recordAnswerStart(key, timer.nanoTime());
+        queue(pool).origin(key).ifPresent(originListener);
     }
 
     /** Releases a slot after a dispatch with the given outcome. */
@@ -184,6 +194,16 @@
         return endpoints.keySet().asList();
     }
 
+    /** The pools that have an endpoint for a request with the terms, or all if none has. */
+    public ImmutableList<SlotPool> pools(StreamTerms terms) {
+        ImmutableList<SlotPool> allowed = pools().stream()
+                .filter(pool -> !terms.isResumption()
+                        || endpoints.get(pool).stream()
+                                .anyMatch(endpoint -> !endpoint.leaving() && terms.allows(endpoint)))
+                .collect(ImmutableList.toImmutableList());
+        return allowed.isEmpty() ? pools() : allowed;
+    }
+
     public PoolLoad load(SlotPool pool) {
         return queue(pool).load(timer.nanoTime());
     }
--- a/relay/src/main/java/org/cowslippick/relay/store/StoreListener.java
+++ b/relay/src/main/java/org/cowslippick/relay/store/StoreListener.java
@@ -9,6 +9,9 @@
     /** Receives all objects of the kind as of the store position. */
     void onSnapshot(ImmutableCollection<StoreObject> objects, StorePosition asOf);
 
+    /** Called after each response, once the listener has received all changes until then. */
+    default void onCurrent() {}
+
     /** Called once when the store stops responding. */
     default void onStoreLost() {}
 
--- /dev/null
+++ b/relay/src/main/java/org/cowslippick/relay/stream/OriginFinder.java
@@ -0,0 +1,110 @@
+package org.cowslippick.relay.stream;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.cowslippick.core.time.TimerService;
+import org.cowslippick.core.world.ServiceName;
+import org.cowslippick.relay.log.LogLine;
+import org.cowslippick.relay.metrics.RelayEvent;
+import org.cowslippick.scheduler.stream.StreamOrigins;
+import org.jboss.logging.Logger;
+
+/**
+ * Finds origins in the order of their price: in memory, by there being only one version, at other instances, in the store.
+ * An origin that is found nowhere is not guessed.
+ */
+public final class OriginFinder {
+
+    private static final Logger LOGGER = Logger.getLogger("cowslippick.streams");
+
+    private final TimerService timer;
+    private final StreamOrigins origins;
+    private final Function<ServiceName, Optional<String>> onlyVersion;
+    private final OriginPeers peers;
+    private final Consumer<Consumer<Boolean>> storeReader;
+    private final Consumer<RelayEvent> counter;
+
+    /**
+     * Creates a finder.
+     *
+     * @param onlyVersion the version of a service that alone can have begun streams; empty if there are several
+     * @param storeReader adds the origins that the store holds to {@code origins}, and calls back with whether it could
+     */
+    public OriginFinder(
+            TimerService timer,
+            StreamOrigins origins,
+            Function<ServiceName, Optional<String>> onlyVersion,
+            OriginPeers peers,
+            Consumer<Consumer<Boolean>> storeReader,
+            Consumer<RelayEvent> counter) {
+        this.timer = timer;
+        this.origins = origins;
+        this.onlyVersion = onlyVersion;
+        this.peers = peers;
+        this.storeReader = storeReader;
+        this.counter = counter;
+    }
+
+    /** The version as far as this instance knows it by itself. */
+    public Optional<String> known(ServiceName service, long stream) {
+        return origins.find(service, stream).or(() -> onlyVersion.apply(service));
+    }
+
+    /** Calls the consumer once, possibly before this method returns, with nothing if the version is unknown. */
+    public void find(ServiceName service, long stream, Consumer<Optional<String>> onFound) {
+        long startNanos = timer.nanoTime();
+        BiConsumer<Source, Optional<String>> answer = (source, version) -> {
+            report(service, stream, source, version, startNanos);
+            onFound.accept(version);
+        };
+        Optional<String> recorded = origins.find(service, stream);
+        if (recorded.isPresent()) {
+            answer.accept(Source.MEMORY, recorded);
+            return;
+        }
+        Optional<String> only = onlyVersion.apply(service);
+        if (only.isPresent()) {
+            answer.accept(Source.ONLY_VERSION, only);
+            return;
+        }
+        peers.ask(service, stream, answered -> {
+            if (answered.isPresent()) {
+                answer.accept(Source.INSTANCE, answered);
+            } else {
+                readStore(service, stream, answer);
+            }
+        });
+    }
+
+    private void readStore(ServiceName service, long stream, BiConsumer<Source, Optional<String>> answer) {
+        storeReader.accept(isRead -> {
+            Optional<String> stored = origins.find(service, stream);
+            answer.accept(isRead || stored.isPresent() ? Source.STORE : Source.STORE_SILENT, stored);
+        });
+    }
+
+    private void report(ServiceName service, long stream, Source source, Optional<String> version, long startNanos) {
+        counter.accept(version.isPresent() ? RelayEvent.STREAM_ORIGIN_FOUND : RelayEvent.STREAM_ORIGIN_UNKNOWN);
+        LOGGER.info(LogLine.of("stream-origin")
+                .with("service", service.value())
+                .with("stream", Long.toHexString(stream))
+                .with("version", version.orElse(""))
+                .with("isKnown", version.isPresent())
+                .with("source", source.name())
+                .with(
+                        "searchedMs",
+                        Duration.ofNanos(timer.nanoTime() - startNanos).toMillis()));
+    }
+
+    /** What told the version, or was asked last. */
+    private enum Source {
+        MEMORY,
+        ONLY_VERSION,
+        INSTANCE,
+        STORE,
+        STORE_SILENT
+    }
+}
--- /dev/null
+++ b/relay/src/main/java/org/cowslippick/relay/stream/StreamTracking.java
@@ -0,0 +1,152 @@
+package org.cowslippick.relay.stream;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.cowslippick.core.routing.LiveEndpoint;
+import org.cowslippick.core.routing.RoutingTable;
+import org.cowslippick.core.time.TimerService;
+import org.cowslippick.core.world.InstanceName;
+import org.cowslippick.core.world.ServiceName;
+import org.cowslippick.relay.metrics.RelayEvent;
+import org.cowslippick.scheduler.stream.ServiceVersions;
+import org.cowslippick.scheduler.stream.StreamOrigin;
+import org.cowslippick.scheduler.stream.StreamOrigins;
+
+/**
+ * Tracks which software versions begin streams on this instance and in the fleet. All methods must be called on one event
+ * loop.
+ */
+public final class StreamTracking implements StreamVersions {
+
+    /** Longer than an undisturbed poll of the store; a version that is not known after it is asked for elsewhere. */
+    private static final Duration LIST_VALIDITY = Duration.ofSeconds(3);
+
+    private final TimerService timer;
+    private final ResumableRoutes routes;
+    private final ServiceVersions versions;
+    private final StreamOrigins origins;
+    private final StreamOrigins granted;
+    private final VersionRegistrar registrar;
+    private final OriginJournal journal;
+    private final OriginFinder finder;
+    private OriginPeers peers = (_service, _stream, onAnswer) -> onAnswer.accept(Optional.empty());
+    private Optional<Long> listedAtNanos = Optional.empty();
+
+    /**
+     * Creates the tracking of an instance without endpoints.
+     *
+     * @param consumer receives the endpoints to use after each change
+     */
+    public StreamTracking(
+            TimerService timer,
+            InstanceName self,
+            Supplier<RoutingTable> routing,
+            VersionStore versionStore,
+            OriginStore originStore,
+            Consumer<ImmutableList<LiveEndpoint>> consumer,
+            Consumer<RelayEvent> counter) {
+        this.timer = timer;
+        this.routes = new ResumableRoutes(routing);
+        this.versions = new ServiceVersions(routes::windowNanos);
+        this.origins = new StreamOrigins(routes::windowNanos);
+        this.granted = new StreamOrigins(routes::windowNanos);
+        this.registrar = new VersionRegistrar(timer, versionStore, versions, routes::isResumable, consumer);
+        this.journal =
+                new OriginJournal(timer, self, originStore, this::isMixed, routes::windowNanos, this::recordOrigin);
+        this.finder = new OriginFinder(
+                timer,
+                origins,
+                this::onlyVersion,
+                (service, stream, onAnswer) -> peers.ask(service, stream, onAnswer),
+                journal::read,
+                counter);
+    }
+
+    /** Starts to read and write the store. */
+    public void start() {
+        registrar.start();
+    }
+
+    /** Sets whom to ask for the origins of streams that other instances have begun. */
+    public void setPeers(OriginPeers others) {
+        peers = others;
+    }
+
+    /** Takes the active endpoints, and passes them on once the store knows their versions. */
+    public void setEndpoints(ImmutableList<LiveEndpoint> endpoints) {
+        registrar.setEndpoints(endpoints);
+        journal.mixedChanged();
+    }
+
+    /** Records that this instance has the endpoints that the store lists now. */
+    public void endpointsListed() {
+        listedAtNanos = Optional.of(timer.nanoTime());
+    }
+
+    /** Applies the routes of a new configuration. */
+    public void routesChanged() {
+        registrar.refresh();
+    }
+
+    public void storeLost() {
+        registrar.storeLost();
+    }
+
+    public void storeRecovered() {
+        registrar.storeRecovered();
+    }
+
+    /** Writes once more what an older copy of the store lacks. */
+    public void storeRestarted() {
+        registrar.storeRestarted();
+    }
+
+    /** Records the origin of a stream whose slot this instance granted; repeated calls have no effect. */
+    public void recordGranted(StreamOrigin origin) {
+        recordOrigin(origin);
+        if (granted.record(origin, timer.nanoTime())) {
+            journal.record(origin);
+        }
+    }
+
+    @Override
+    public void recordOrigin(StreamOrigin origin) {
+        origins.record(origin, timer.nanoTime());
+    }
+
+    @Override
+    public void find(ServiceName service, long stream, Consumer<Optional<String>> onFound) {
+        finder.find(service, stream, onFound);
+    }
+
+    /** The version that has begun a stream, as far as this instance knows it by itself. */
+    public Optional<String> known(ServiceName service, long stream) {
+        return finder.known(service, stream);
+    }
+
+    /** The number of streams whose origin is in memory. */
+    public long originCount() {
+        return origins.size();
+    }
+
+    /** The number of services whose streams several versions can have begun. */
+    public long mixedCount() {
+        return routes.services().stream().filter(this::isMixed).count();
+    }
+
+    private boolean isMixed(ServiceName service) {
+        return versions.isMixed(service, timer.nanoTime());
+    }
+
+    /** A new version may have begun streams elsewhere while this instance has an old list of endpoints. */
+    private Optional<String> onlyVersion(ServiceName service) {
+        long now = timer.nanoTime();
+        boolean isListCurrent = listedAtNanos
+                .filter(listed -> now - listed <= LIST_VALIDITY.toNanos())
+                .isPresent();
+        return isListCurrent ? versions.only(service, now) : Optional.empty();
+    }
+}
--- a/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
@@ -17,11 +17,15 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.IntFunction;
+import java.util.stream.IntStream;
 import org.cowslippick.core.routing.CallerLimits;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.routing.OrganisationAccess;
@@ -55,6 +59,7 @@
 import org.cowslippick.relay.slot.LocalSlotQueues;
 import org.cowslippick.relay.slot.SlotBroker;
 import org.cowslippick.relay.slot.SlotListener;
+import org.cowslippick.relay.stream.StreamVersions;
 import org.cowslippick.relay.time.EventLoopTimerService;
 import org.cowslippick.relay.time.LoopMonitor;
 import org.cowslippick.scheduler.slot.AnswerOutcome;
@@ -63,6 +68,7 @@
 import org.cowslippick.scheduler.slot.SlotKey;
 import org.cowslippick.scheduler.slot.SlotPool;
 import org.cowslippick.scheduler.slot.SlotRequest;
+import org.cowslippick.scheduler.stream.StreamOrigin;
 
 /** A relay on the loopback interface with one service, scripted engines as its endpoints, and routes of each kind. */
 final class RelayHarness implements AutoCloseable {
@@ -137,7 +143,10 @@
                 new SharedQuotas(timer, new QuotaTolerance(Duration.ofSeconds(8), 0.1, 0)),
                 new SharedRetryBudget(0.2, 50),
                 metrics,
-                new EngineLoadReader(NAMES)));
+                new EngineLoadReader(NAMES),
+                new SingleInstanceStreams(IntStream.range(0, engines.length)
+                        .mapToObj(softwareVersions)
+                        .collect(ImmutableSet.toImmutableSet()))));
         this.callers = new CallerConnections(
                 () -> table().limits(),
                 timer,
@@ -294,6 +303,28 @@
                 resumable);
     }
 
+    /** Knows the streams that this instance has begun, and all of them if there is one version. */
+    private static final class SingleInstanceStreams implements StreamVersions {
+        private final ImmutableSet<String> versions;
+        private final Map<Long, String> origins = new HashMap<>();
+
+        SingleInstanceStreams(ImmutableSet<String> versions) {
+            this.versions = versions;
+        }
+
+        @Override
+        public void recordOrigin(StreamOrigin origin) {
+            origins.put(origin.stream(), origin.softwareVersion());
+        }
+
+        @Override
+        public void find(ServiceName _service, long stream, Consumer<Optional<String>> onFound) {
+            onFound.accept(Optional.ofNullable(origins.get(stream)).or(() -> versions.stream()
+                    .filter(_version -> versions.size() == 1)
+                    .findFirst()));
+        }
+    }
+
     /** A broker for a single pool in the queues of this instance. */
     private static final class SinglePoolBroker implements SlotBroker {
         private static final InstanceName INSTANCE = new InstanceName("front-1");
--- a/scheduler/src/main/java/org/cowslippick/scheduler/rollout/VersionGate.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/rollout/VersionGate.java
@@ -208,6 +208,16 @@
         return credits.getOrDefault(route, 0.0) >= 1 ? Choice.TARGET_OR_OLD : Choice.OLD;
     }
 
+    /** Which endpoints a request that must use the version may use now. */
+    public Choice choose(int route, Optional<String> requiredVersion, long nowNanos) {
+        if (requiredVersion.isEmpty() || !isRestricting(nowNanos) || !isPlanInForce()) {
+            return choose(route, nowNanos);
+        }
+        boolean isTargetRequired = requiredVersion.equals(target());
+        boolean mayUseTarget = isTargetOnly(nowNanos) || (shareNow(nowNanos) > 0 && allowsAnotherExposure());
+        return (isTargetRequired && mayUseTarget) || isTargetOnly(nowNanos) ? Choice.TARGET : Choice.OLD;
+    }
+
     private boolean allowsAnotherExposure() {
         return plan.filter(present -> exposure + 1
                         <= BOUND_MARGIN * (present.exposureShare() * requests + (isOwner ? present.slack() : 0)))
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointPool.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointPool.java
@@ -79,9 +79,11 @@
         keptBounds.setEngines(all.size());
     }
 
-    /** Whether there is no endpoint that takes new requests, now or later. */
-    boolean isWithoutTakers() {
-        return endpoints.values().stream().allMatch(EndpointLoad::isLeaving);
+    /** Whether there is no endpoint that takes the request, now or later. */
+    boolean isWithoutTakers(SlotRequest request) {
+        return endpoints.values().stream()
+                .filter(load -> request.stream().allows(load.endpoint()))
+                .allMatch(EndpointLoad::isLeaving);
     }
 
     /** The slots that most requests can be granted now; an endpoint with a rate limit counts as one. */
@@ -119,7 +121,7 @@
     boolean canBeOnTime(SlotRequest request, long waitNanos, long nowNanos) {
         boolean isAnyAvailable = false;
         for (EndpointLoad load : all) {
-            if (isAvailable(load, nowNanos)) {
+            if (isAvailable(load, nowNanos) && request.stream().allows(load.endpoint())) {
                 isAnyAvailable = true;
                 if (isOnTime(load, request, waitNanos, nowNanos)) {
                     return true;
@@ -156,7 +158,8 @@
 
     /** Which versions the request may use; the old one if the target should get all but has no usable endpoint. */
     VersionGate.Choice choice(SlotRequest request, long nowNanos) {
-        VersionGate.Choice choice = versions.choose(request.routeKey(), nowNanos);
+        VersionGate.Choice choice =
+                versions.choose(request.routeKey(), request.stream().requiredVersion(), nowNanos);
         boolean isUnusable = choice == VersionGate.Choice.TARGET
                 && !versions.isTargetOnly(nowNanos)
                 && all.stream()
@@ -195,6 +198,7 @@
 
     private boolean isOpenTo(EndpointLoad load, SlotRequest request, long nowNanos) {
         return isOpen(load, nowNanos)
+                && request.stream().allows(load.endpoint())
                 && load.accepts(request.key().instance(), nowNanos)
                 && load.hasMemoryFor(request, memoryTokens);
     }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -12,6 +12,7 @@
 import org.cowslippick.core.world.InstanceName;
 import org.cowslippick.scheduler.engine.SpeedEstimate;
 import org.cowslippick.scheduler.rollout.VersionGate;
+import org.cowslippick.scheduler.stream.StreamOrigin;
 
 /**
  * The slots of a pool's endpoints and the requests that wait for one. An endpoint is chosen when a slot becomes free,
@@ -112,9 +113,9 @@
     /** Offers a request, which is granted a slot, queued or refused. */
     public ImmutableList<SlotDecision> offer(SlotRequest offered, long nowNanos) {
         forgetExpired(nowNanos);
-        SlotRequest request = refusals.matchRetry(offered, nowNanos);
+        SlotRequest request = refusals.matchRetry(offered, nowNanos).withPrecedenceOfResumption();
         recordForVersions(request);
-        if (endpoints.isWithoutTakers()) {
+        if (endpoints.isWithoutTakers(request)) {
             return ImmutableList.of(refusals.noEndpoint(request, nowNanos));
         }
         long wait = expectedWaitNanos(request, nowNanos);
@@ -173,6 +174,18 @@
         });
     }
 
+    /** The origin of the stream that a running request begins or resumes; empty if it cannot be resumed. */
+    public Optional<StreamOrigin> origin(SlotKey key) {
+        return Optional.ofNullable(running.get(key)).flatMap(SlotQueue::origin);
+    }
+
+    private static Optional<StreamOrigin> origin(Running entry) {
+        LiveEndpoint endpoint = entry.load().endpoint();
+        return entry.request().stream().stream().stream()
+                .mapToObj(stream -> new StreamOrigin(endpoint.service(), stream, endpoint.softwareVersion()))
+                .findFirst();
+    }
+
     private void endPause(EndpointLoad load, InstanceName instance, long nowNanos) {
         if (load.isPauseOver(instance, nowNanos)) {
             notices.endPause(load.endpoint(), instance);
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotRequest.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotRequest.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.cowslippick.core.world.OrganisationName;
 import org.cowslippick.scheduler.prefix.PromptPart;
+import org.cowslippick.scheduler.stream.StreamTerms;
 
 /**
  * A request for a slot.
@@ -27,6 +28,7 @@
  * @param organisation the caller's organisation; empty for anonymous callers
  * @param connectedEndpoints endpoints to which the asking instance has an idle connection that the request may use
  * @param promptParts the first parts of the prompt, in its order; empty if the request names none
+ * @param stream what the request asks of the software version of its endpoint
  */
 public record SlotRequest(
         SlotKey key,
@@ -46,7 +48,50 @@
         ImmutableSet<String> excludedEndpoints,
         Optional<OrganisationName> organisation,
         ImmutableSet<String> connectedEndpoints,
-        ImmutableList<PromptPart> promptParts) {
+        ImmutableList<PromptPart> promptParts,
+        StreamTerms stream) {
+
+    /** Creates a request whose response cannot be resumed. */
+    public SlotRequest(
+            SlotKey key,
+            int rank,
+            int routeRank,
+            long fingerprint,
+            long promptTokens,
+            long answerTokens,
+            boolean isCallerRetry,
+            long maximumPauseNanos,
+            int tokensPerEvent,
+            long arrivedAtNanos,
+            long onTimeUntilNanos,
+            long queueDeadlineNanos,
+            long retryQueueDeadlineNanos,
+            long expiresAtNanos,
+            ImmutableSet<String> excludedEndpoints,
+            Optional<OrganisationName> organisation,
+            ImmutableSet<String> connectedEndpoints,
+            ImmutableList<PromptPart> promptParts) {
+        this(
+                key,
+                rank,
+                routeRank,
+                fingerprint,
+                promptTokens,
+                answerTokens,
+                isCallerRetry,
+                maximumPauseNanos,
+                tokensPerEvent,
+                arrivedAtNanos,
+                onTimeUntilNanos,
+                queueDeadlineNanos,
+                retryQueueDeadlineNanos,
+                expiresAtNanos,
+                excludedEndpoints,
+                organisation,
+                connectedEndpoints,
+                promptParts,
+                StreamTerms.NONE);
+    }
 
     /** Creates a request that names no parts of its prompt. */
     public SlotRequest(
@@ -135,6 +180,14 @@
         return withRetry(true, originalOnTimeUntilNanos, retryQueueDeadlineNanos);
     }
 
+    /**
+     * Returns this request as one with the precedence of a caller's retry if it resumes a stream, as its caller has received
+     * a part of the answer.
+     */
+    SlotRequest withPrecedenceOfResumption() {
+        return stream.isResumption() ? asCallerRetry(onTimeUntilNanos) : this;
+    }
+
     /** Returns this request as one without precedence, with the on-time limit of the first attempt. */
     SlotRequest asEarlyRetry(long originalOnTimeUntilNanos) {
         return withRetry(isCallerRetry, originalOnTimeUntilNanos, queueDeadlineNanos);
@@ -159,6 +212,7 @@
                 excludedEndpoints,
                 organisation,
                 connectedEndpoints,
-                promptParts);
+                promptParts,
+                stream);
     }
 }
--- a/scheduler/src/test/java/org/cowslippick/scheduler/slot/SlotQueueVersionsTest.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/slot/SlotQueueVersionsTest.java
@@ -9,6 +9,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.stream.IntStream;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.world.FailureDomain;
@@ -17,6 +19,8 @@
 import org.cowslippick.core.world.ServiceName;
 import org.cowslippick.scheduler.rollout.RolloutPlan;
 import org.cowslippick.scheduler.rollout.RolloutStage;
+import org.cowslippick.scheduler.stream.StreamOrigin;
+import org.cowslippick.scheduler.stream.StreamTerms;
 import org.junit.jupiter.api.Test;
 
 /** A queue whose endpoints have two versions. */
@@ -24,6 +28,7 @@
 
     private static final ServiceName SERVICE = new ServiceName("model");
     private static final InstanceName INSTANCE = new InstanceName("front-0");
+    private static final long STREAM = 7;
     private static final String OLD = "1";
     private static final String TARGET = "2";
     private static final long SECOND = Duration.ofSeconds(1).toNanos();
@@ -84,6 +89,88 @@
         return decisions.stream().filter(SlotDecision.Refused.class::isInstance).count();
     }
 
+    private SlotKey offerResumption(String version) {
+        SlotKey key = new SlotKey(INSTANCE, number++);
+        long late = now + 10 * SECOND;
+        decisions.addAll(queue.offer(
+                new SlotRequest(
+                        key,
+                        0,
+                        0,
+                        number,
+                        500,
+                        50,
+                        false,
+                        0,
+                        1,
+                        now,
+                        late,
+                        late,
+                        late,
+                        late,
+                        ImmutableSet.of(),
+                        Optional.empty(),
+                        ImmutableSet.of(),
+                        ImmutableList.of(),
+                        new StreamTerms(OptionalLong.of(STREAM), Optional.of(version))),
+                now));
+        return key;
+    }
+
+    /** Guards against streams that another version resumes because its endpoints are free. */
+    @Test
+    void resumptionWaitsForTheVersionThatBeganTheStream() {
+        use(endpoint("old-0", OLD, false), endpoint("new-0", TARGET, false));
+        SlotKey first = offerResumption(OLD);
+        offerResumption(OLD);
+        offerResumption(OLD);
+        assertEquals(2, granted("old-0"));
+        assertEquals(0, granted("new-0"));
+        decisions.addAll(queue.recordEnd(first, AnswerOutcome.SOUND, now));
+        assertEquals(3, granted("old-0"));
+    }
+
+    /** Guards against a resumption that waits behind new requests for the few endpoints of its version. */
+    @Test
+    void resumptionGoesBeforeNewRequests() {
+        use(endpoint("old-0", OLD, false));
+        SlotKey running = offer();
+        offer(2);
+        SlotKey resumption = offerResumption(OLD);
+        decisions.addAll(queue.recordEnd(running, AnswerOutcome.SOUND, now));
+        assertEquals(resumption, decisions.get(decisions.size() - 1).request().key());
+    }
+
+    /** Guards against a resumption that waits in vain, or goes to another version, once its version has left. */
+    @Test
+    void resumptionIsRefusedWithoutAnEndpointOfItsVersion() {
+        use(endpoint("old-0", OLD, true), endpoint("new-0", TARGET, false));
+        offerResumption(OLD);
+        assertEquals(1, refused());
+        assertEquals(0, granted("new-0"));
+    }
+
+    /** Guards against a roll-out that keeps streams of both versions from being resumed. */
+    @Test
+    void resumptionKeepsItsVersionDuringARollout() {
+        useOldAndTarget();
+        plan(RolloutStage.CANARY, 0.05);
+        now += SECOND;
+        plan(RolloutStage.CANARY, 0.05);
+        offerResumption(TARGET);
+        offerResumption(OLD);
+        assertEquals(1, granted("new-0"));
+        assertEquals(1, granted("old-0"));
+    }
+
+    @Test
+    void originIsThatOfTheGrantedEndpoint() {
+        use(endpoint("old-0", OLD, false));
+        SlotKey key = offerResumption(OLD);
+        assertEquals(Optional.of(new StreamOrigin(SERVICE, STREAM, OLD)), queue.origin(key));
+        assertEquals(Optional.empty(), queue.origin(offer()));
+    }
+
     /** Guards against a change for deployments without roll-outs. */
     @Test
     void usesAllVersionsUnlessEnabled() {
