--- a/relay/src/main/java/org/cowslippick/relay/forwarding/RequestProgress.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/RequestProgress.java
@@ -1,6 +1,7 @@
 package org.cowslippick.relay.forwarding;
 
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
 
@@ -8,12 +9,14 @@
 final class RequestProgress {
 
     private final Set<String> triedEndpoints = new HashSet<>();
+    private final Set<String> sentToVersions = new LinkedHashSet<>();
     private final EventScanner events = new EventScanner();
     private final RequestTimes times;
     private String cause = "";
     private long keptTokens;
     private boolean mayHaveRun;
     private boolean responseStarted;
+    private Optional<String> streamVersion = Optional.empty();
 
     RequestProgress(long arrivedAtNanos) {
         this.times = new RequestTimes(arrivedAtNanos);
@@ -24,6 +27,11 @@
         return triedEndpoints;
     }
 
+    /** The software versions of the endpoints that the request was sent to. */
+    Set<String> sentToVersions() {
+        return sentToVersions;
+    }
+
     EventScanner events() {
         return events;
     }
@@ -68,6 +76,15 @@
         responseStarted = true;
     }
 
+    /** The software version that has begun the stream; empty if any may begin it. */
+    Optional<String> streamVersion() {
+        return streamVersion;
+    }
+
+    void setStreamVersion(String version) {
+        streamVersion = Optional.of(version);
+    }
+
     /** The last event of the stream that the caller has received; empty if the stream has not started. */
     Optional<String> lastForwardedEvent() {
         return events.lastId().filter(_id -> responseStarted);
