--- a/relay/src/test/java/org/cowslippick/relay/peer/SlotFleet.java
+++ b/relay/src/test/java/org/cowslippick/relay/peer/SlotFleet.java
@@ -6,7 +6,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BiConsumer;
+import java.util.function.BiFunction;
 import java.util.stream.IntStream;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.time.ManualTimerService;
@@ -105,6 +107,13 @@
                 node.known, node.membership, node.localQueues, timer, network.join(name(number)), bounds, store);
     }
 
+    /** Lets an instance ask others for origins of streams, and answer them. */
+    StreamOriginExchange joinStreams(int number, BiFunction<ServiceName, Long, Optional<String>> knownVersions) {
+        Node node = nodes.get(number);
+        return new StreamOriginExchange(
+                name(number), node.membership, node.localQueues, timer, network.join(name(number)), knownVersions);
+    }
+
     /** Gives all instances a list of endpoints of the store. */
     void register(ImmutableList<LiveEndpoint> registered, long revision) {
         nodes.forEach(node -> node.directory.replace(registered, revision));
--- /dev/null
+++ b/relay/src/test/java/org/cowslippick/relay/peer/StreamOriginExchangeTest.java
@@ -0,0 +1,81 @@
+package org.cowslippick.relay.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.cowslippick.core.world.ServiceName;
+import org.junit.jupiter.api.Test;
+
+/** An instance asks the others which version has begun a stream; one of them knows. */
+class StreamOriginExchangeTest {
+
+    private static final ServiceName SERVICE = new ServiceName("model");
+    private static final int ASKING = 0;
+    private static final int KNOWING = 2;
+    private static final long STREAM = 7;
+
+    private final List<Optional<String>> answers = new ArrayList<>();
+
+    private SlotFleet fleet(int instances) {
+        SlotFleet fleet = new SlotFleet(
+                instances, ImmutableList.of(SlotFleet.endpoint(0)), Duration.ofSeconds(1), SlotFleet.Node::answered);
+        fleet.stopCallers();
+        fleet.timer().advance(Duration.ofSeconds(2));
+        return fleet;
+    }
+
+    private StreamOriginExchange join(SlotFleet fleet, int number) {
+        return fleet.joinStreams(
+                number,
+                (_service, stream) -> number == KNOWING && stream == STREAM ? Optional.of("v1") : Optional.empty());
+    }
+
+    private void ask(SlotFleet fleet, int instances, long stream) {
+        StreamOriginExchange asking = join(fleet, ASKING);
+        for (int number = 1; number < instances; number++) {
+            join(fleet, number);
+        }
+        asking.ask(SERVICE, stream, answers::add);
+    }
+
+    @Test
+    void answerOfOneInstanceIsEnough() {
+        SlotFleet fleet = fleet(4);
+        ask(fleet, 4, STREAM);
+        assertEquals(List.of(Optional.of("v1")), answers);
+        fleet.timer().advance(Duration.ofSeconds(1));
+        assertEquals(1, answers.size());
+    }
+
+    @Test
+    void unknownOnceAllHaveAnswered() {
+        ask(fleet(4), 4, STREAM + 1);
+        assertEquals(List.of(Optional.empty()), answers);
+    }
+
+    /** Guards against a caller that waits for an instance that was killed. */
+    @Test
+    void unknownIfAnInstanceIsSilent() {
+        SlotFleet fleet = fleet(4);
+        fleet.network().isolate(SlotFleet.name(KNOWING));
+        ask(fleet, 4, STREAM);
+        assertEquals(List.of(), answers);
+        fleet.timer().advance(Duration.ofSeconds(1));
+        assertEquals(List.of(Optional.empty()), answers);
+    }
+
+    /** Guards against queries to all instances of a large fleet. */
+    @Test
+    void ownersAndCollectorsAreAskedInALargeFleet() {
+        SlotFleet fleet = fleet(30);
+        ask(fleet, 30, STREAM + 1);
+        assertEquals(List.of(Optional.empty()), answers);
+        long queries = fleet.network().count(StreamOriginMessages.Query.class);
+        assertTrue(queries <= 3, queries + " queries");
+    }
+}
--- /dev/null
+++ b/relay/src/test/java/org/cowslippick/relay/stream/StreamTrackingTest.java
@@ -0,0 +1,160 @@
+package org.cowslippick.relay.stream;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.net.HostAndPort;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+import org.cowslippick.core.routing.LiveEndpoint;
+import org.cowslippick.core.routing.RoutingTable;
+import org.cowslippick.core.time.ManualTimerService;
+import org.cowslippick.core.world.FailureDomain;
+import org.cowslippick.core.world.InstanceName;
+import org.cowslippick.core.world.Region;
+import org.cowslippick.core.world.ServiceName;
+import org.cowslippick.scheduler.stream.StreamOrigin;
+import org.junit.jupiter.api.Test;
+
+/** What an instance knows of the versions of streams, before and after it is restarted. */
+class StreamTrackingTest {
+
+    private static final ServiceName SERVICE = new ServiceName("model");
+    private static final long STREAM = 7;
+
+    private final ManualTimerService timer = new ManualTimerService();
+    private final MemoryVersions versionStore = new MemoryVersions();
+    private final MemoryOrigins originStore = new MemoryOrigins();
+    private final List<String> usable = new ArrayList<>();
+    private StreamTracking streams = newProcess();
+
+    private StreamTracking newProcess() {
+        StreamTracking started = new StreamTracking(
+                timer,
+                new InstanceName("front-1"),
+                () -> RoutingTable.NONE,
+                versionStore,
+                originStore,
+                endpoints -> {
+                    usable.clear();
+                    endpoints.forEach(endpoint -> usable.add(endpoint.softwareVersion()));
+                },
+                _event -> {});
+        started.start();
+        return started;
+    }
+
+    private void list(String... versions) {
+        streams.setEndpoints(
+                Stream.of(versions).map(StreamTrackingTest::endpoint).collect(ImmutableList.toImmutableList()));
+        streams.endpointsListed();
+        timer.advance(Duration.ofMillis(500));
+    }
+
+    private static LiveEndpoint endpoint(String version) {
+        return new LiveEndpoint(
+                "engine-" + version,
+                SERVICE,
+                HostAndPort.fromParts("10.0.0.1", 80),
+                new FailureDomain("oviedo", new Region("asturias")),
+                2,
+                false,
+                1,
+                1,
+                version);
+    }
+
+    private Optional<String> find(long stream) {
+        List<Optional<String>> found = new ArrayList<>();
+        streams.find(SERVICE, stream, found::add);
+        timer.advance(Duration.ofSeconds(1));
+        assertEquals(1, found.size());
+        return found.get(0);
+    }
+
+    @Test
+    void onlyVersionHasBegunAllStreams() {
+        list("v1");
+        assertEquals(Optional.of("v1"), find(STREAM));
+    }
+
+    /** Guards against an instance that was cut off while another version began to serve. */
+    @Test
+    void onlyVersionOfAnOldListIsNotTrusted() {
+        list("v1");
+        timer.advance(Duration.ofSeconds(10));
+        assertEquals(Optional.empty(), find(STREAM));
+    }
+
+    /** Guards against a version that takes over while no instance runs. */
+    @Test
+    void versionThatServedBeforeARestartMayHaveBegunStreams() {
+        list("v1");
+        streams = newProcess();
+        list("v2");
+        assertEquals(List.of("v2"), usable);
+        assertEquals(Optional.empty(), find(STREAM));
+    }
+
+    @Test
+    void streamsOfMixedVersionsAreKnownAfterARestart() {
+        list("v1");
+        streams.recordGranted(new StreamOrigin(SERVICE, STREAM, "v1"));
+        list("v1", "v2");
+        streams.recordGranted(new StreamOrigin(SERVICE, STREAM + 1, "v2"));
+        timer.advance(Duration.ofSeconds(1));
+        streams = newProcess();
+        list("v1", "v2");
+        assertEquals(Optional.of("v1"), find(STREAM));
+        assertEquals(Optional.of("v2"), find(STREAM + 1));
+        assertEquals(Optional.empty(), find(STREAM + 2));
+    }
+
+    /** Guards against calls to the store on ordinary days. */
+    @Test
+    void nothingIsWrittenWithOneVersion() {
+        list("v1");
+        streams.recordGranted(new StreamOrigin(SERVICE, STREAM, "v1"));
+        timer.advance(Duration.ofSeconds(30));
+        assertEquals(Map.of(), originStore.segments);
+    }
+
+    /** Segments that are saved at once. */
+    private static final class MemoryOrigins implements OriginStore {
+        private final Map<Integer, OriginSegment> segments = new HashMap<>();
+
+        @Override
+        public CompletableFuture<Boolean> save(OriginSegment segment) {
+            segments.put(segment.number(), segment);
+            return CompletableFuture.completedFuture(true);
+        }
+
+        @Override
+        public CompletableFuture<Optional<ImmutableList<OriginSegment>>> load() {
+            return CompletableFuture.completedFuture(Optional.of(ImmutableList.copyOf(segments.values())));
+        }
+    }
+
+    /** An entry that is written at once. */
+    private static final class MemoryVersions implements VersionStore {
+        private ImmutableList<RegisteredVersions> entries = ImmutableList.of();
+
+        @Override
+        public CompletableFuture<Optional<ImmutableList<RegisteredVersions>>> load() {
+            return CompletableFuture.completedFuture(Optional.of(entries));
+        }
+
+        @Override
+        public CompletableFuture<Result> write(RegisteredVersions versions) {
+            entries = ImmutableList.of(
+                    new RegisteredVersions(versions.service(), versions.revision() + 1, versions.lastPresent()));
+            return CompletableFuture.completedFuture(new Result(true, Optional.empty()));
+        }
+    }
+}
