Origins are journalled as long as the store names several versions

After a kill of all instances, streams of the one version in service would be refused for the window, if the store still named a version that had left some 20 to 90 s before.

The removal keeps to the window and a margin where that is longer than 60 s. Evidence: StreamTrackingTest.originsAreWrittenAsLongAsTheStoreNamesSeveralVersions fails without the change, passes with it.

--- a/relay/src/main/java/org/cowslippick/relay/stream/ObservedVersions.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/ObservedVersions.java
@@ -14,7 +14,7 @@
  *
  * @param present those with endpoints, whose entries the instance keeps
  * @param possible those that may have begun streams
- * @param recent those that were present within {@link #REMOVAL_AGE}, or of which the store named another confirmation
+ * @param recent those that were present too recently to be removed, or of which the store named another confirmation
  */
 record ObservedVersions(
         ImmutableSet<String> present,
@@ -22,9 +22,12 @@
         ImmutableSet<String> recent,
         long nowMilliseconds) {
 
-    /** Longer than the window of any service, by more than instances learn of endpoints at different times. */
+    /** How long a version must have been absent at least before it is removed. */
     static final Duration REMOVAL_AGE = Duration.ofSeconds(60);
 
+    /** Beyond the window, as instances learn of endpoints at different times. */
+    static final Duration REMOVAL_MARGIN = Duration.ofSeconds(10);
+
     /** So much younger than the removal age that no removal conditional on an older entry is on its way. */
     private static final Duration FRESH_AGE = Duration.ofSeconds(10);
 
--- a/relay/src/main/java/org/cowslippick/relay/stream/StreamTracking.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/StreamTracking.java
@@ -137,8 +137,9 @@
         return routes.services().stream().filter(this::isMixed).count();
     }
 
+    /** As long as the store names several versions, an instance that starts can learn of a stream from the journal only. */
     private boolean isMixed(ServiceName service) {
-        return versions.isMixed(service, timer.nanoTime());
+        return versions.isMixed(service, timer.nanoTime()) || registrar.isRegisteredMixed(service);
     }
 
     /** A new version may have begun streams elsewhere while this instance has an old list of endpoints. */
--- a/relay/src/main/java/org/cowslippick/relay/stream/VersionRegistrar.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/VersionRegistrar.java
@@ -69,6 +69,11 @@
         passOn(selectUsable());
     }
 
+    /** Whether an instance that starts now would take the streams of the service to be of several versions. */
+    public boolean isRegisteredMixed(ServiceName service) {
+        return synchroniser.isMixed(service);
+    }
+
     /** Applies a change of the services that are streamed. */
     public void refresh() {
         updatePresent();
--- a/relay/src/main/java/org/cowslippick/relay/stream/VersionSynchroniser.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/VersionSynchroniser.java
@@ -70,6 +70,13 @@
         }
     }
 
+    /** Whether the store holds several versions of the service, as far as this instance has read it. */
+    boolean isMixed(ServiceName service) {
+        return Optional.ofNullable(entries.get(service))
+                .filter(entry -> entry.lastPresent().size() > 1)
+                .isPresent();
+    }
+
     void setStoreLost(boolean isLost) {
         isStoreLost = isLost;
     }
@@ -287,7 +294,12 @@
         return new ObservedVersions(
                 present.of(service),
                 versions.possible(service, now),
-                versions.presentWithin(service, ObservedVersions.REMOVAL_AGE.toNanos(), now),
+                versions.presentWithin(
+                        service,
+                        Math.max(
+                                ObservedVersions.REMOVAL_AGE.toNanos(),
+                                versions.windowNanos() + ObservedVersions.REMOVAL_MARGIN.toNanos()),
+                        now),
                 timer.now().toEpochMilli());
     }
 }
--- a/relay/src/test/java/org/cowslippick/relay/stream/StreamTrackingTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/stream/StreamTrackingTest.java
@@ -116,6 +116,19 @@
         assertEquals(Optional.empty(), find(STREAM + 2));
     }
 
+    /** Guards against streams that are refused after a restart, as the store still names a version that has left. */
+    @Test
+    void originsAreWrittenAsLongAsTheStoreNamesSeveralVersions() {
+        list("v1", "v2");
+        list("v2");
+        timer.advance(Duration.ofSeconds(21));
+        streams.recordGranted(new StreamOrigin(SERVICE, STREAM, "v2"));
+        timer.advance(Duration.ofSeconds(1));
+        streams = newProcess();
+        list("v2");
+        assertEquals(Optional.of("v2"), find(STREAM));
+    }
+
     /** Guards against calls to the store on ordinary days. */
     @Test
     void nothingIsWrittenWithOneVersion() {
--- a/scheduler/src/main/java/org/cowslippick/scheduler/stream/ServiceVersions.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/stream/ServiceVersions.java
@@ -53,6 +53,11 @@
         isRegistryKnown = true;
     }
 
+    /** The longest time in which a caller can resume a stream. */
+    public long windowNanos() {
+        return windowNanos.getAsLong();
+    }
+
     /** The versions that may have begun a stream that a caller resumes now. */
     public ImmutableSet<String> possible(ServiceName service, long nowNanos) {
         return presentWithin(service, windowNanos.getAsLong(), nowNanos);
