A stream of a split route is resumed by the service that began it

A caller that resumed a stream of a route with several services could get the rest from another service than the first part.

Cause: the service was drawn anew for each attempt. Change: for streams the draw follows from the attempt that brought the first event, so that all instances draw alike. Evidence: AdmissionTest fails with the draw as before, and passes.

--- a/relay/src/main/java/org/cowslippick/relay/forwarding/Admission.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/Admission.java
@@ -9,9 +9,11 @@
 import org.cowslippick.core.routing.OrganisationAccess;
 import org.cowslippick.core.routing.Quota;
 import org.cowslippick.core.routing.Route;
+import org.cowslippick.core.routing.RouteKind;
 import org.cowslippick.core.routing.RoutingTable;
 import org.cowslippick.core.world.ServiceName;
 import org.cowslippick.relay.message.CallerRequest;
+import org.cowslippick.relay.stream.StreamIds;
 
 /**
  * The routing decision for an admitted request.
@@ -41,8 +43,7 @@
         if (requiresCredential && organisation.isEmpty()) {
             return Either.left(Failure.of(ErrorKind.UNAUTHENTICATED, "the credential is missing or unknown"));
         }
-        ServiceName service =
-                route.get().selectService(ThreadLocalRandom.current().nextDouble());
+        ServiceName service = route.get().selectService(draw(request, route.get()));
         long cost = organisation
                 .map(OrganisationAccess::quota)
                 .filter(Quota::isLimited)
@@ -51,6 +52,13 @@
         return Either.right(new Admission(table.version(), route.get(), service, organisation, cost));
     }
 
+    /** Equal for a stream and all requests that resume it, which thus go to the same service of a split route. */
+    private static double draw(CallerRequest request, Route route) {
+        return route.kind() == RouteKind.EVENT_STREAM
+                ? StreamIds.fraction(StreamIds.of(request.firstAttempt()))
+                : ThreadLocalRandom.current().nextDouble();
+    }
+
     /** The rank of the organisation, or that of the route if the organisation has none. */
     int rank() {
         return organisation.flatMap(OrganisationAccess::rank).orElseGet(route::rank);
--- a/relay/src/main/java/org/cowslippick/relay/forwarding/RequestTerms.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/RequestTerms.java
@@ -86,11 +86,8 @@
 
     /** The stream that the request begins or resumes; empty if nobody can resume it. */
     OptionalLong stream() {
-        return request.resumption()
-                .map(resumption -> OptionalLong.of(StreamIds.of(resumption.firstAttempt())))
-                .orElseGet(() -> ResumableRoutes.isResumable(admission.route())
-                        ? OptionalLong.of(StreamIds.of(request.attemptId()))
-                        : OptionalLong.empty());
+        boolean isStream = request.resumption().isPresent() || ResumableRoutes.isResumable(admission.route());
+        return isStream ? OptionalLong.of(StreamIds.of(request.firstAttempt())) : OptionalLong.empty();
     }
 
     Dispatch dispatch(LiveEndpoint endpoint, RequestProgress progress, long nowNanos) {
--- a/relay/src/main/java/org/cowslippick/relay/message/CallerRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/message/CallerRequest.java
@@ -40,6 +40,11 @@
         long declaredTokens,
         long arrivedAtNanos) {
 
+    /** The caller's attempt that brought the first event of the stream, if the request resumes one; else this attempt. */
+    public String firstAttempt() {
+        return resumption.map(StreamResumption::firstAttempt).orElse(attemptId);
+    }
+
     /** What an endpoint's crash may be due to, from the first part of the prompt to the request itself. */
     public ImmutableList<String> contents() {
         return ImmutableList.<String>builder()
