Streams that wait for a busy version do not hide other requests

Found by review: with the endpoints of one version full, 64 waiting resumptions kept all requests of their urgency from the free endpoints of another version, as a step considers 64 requests of an urgency. Now 64 for each required version. SlotQueueVersionsTest.waitingResumptionsDoNotHideNewRequests failed before (0 of 2 granted).

--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/WaitingRequests.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/WaitingRequests.java
@@ -93,12 +93,12 @@
 
     /**
      * The first result in dispatch order; late requests come last. Evaluates no further request, and a limited number of each
-     * urgency, so that a step takes little time if the free endpoints suit none of many waiting requests.
+     * urgency and required version, so that a step takes little time if the free endpoints suit none of many waiting requests.
      */
     <T> Optional<T> first(Function<SlotRequest, Optional<T>> function) {
         return Stream.concat(onTime.values().stream(), late.values().stream())
                 .map(queue -> queue.stream()
-                        .limit(MAXIMUM_CONSIDERED)
+                        .filter(new ConsiderationLimit(MAXIMUM_CONSIDERED))
                         .map(function)
                         .<T>mapMulti(Optional::ifPresent)
                         .findFirst())
