A resumption that a roll-out forbids is refused at once

Found by review: a stream whose version may not be used, as a roll-out is sealed or rolled back, waited for its queue deadline and was refused then. SlotQueueVersionsTest.resumptionThatARolloutForbidsIsRefusedAtOnce failed before (no decision).

--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointPool.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/EndpointPool.java
@@ -80,12 +80,19 @@
     }
 
     /** Whether there is no endpoint that takes the request, now or later. */
-    boolean isWithoutTakers(SlotRequest request) {
+    boolean isWithoutTakers(SlotRequest request, long nowNanos) {
         return endpoints.values().stream()
                 .filter(load -> request.stream().allows(load.endpoint()))
+                .filter(load -> !request.stream().isResumption() || isPermitted(load, request, nowNanos))
                 .allMatch(EndpointLoad::isLeaving);
     }
 
+    /** Whether a roll-out lets the request use the endpoint. */
+    private boolean isPermitted(EndpointLoad load, SlotRequest request, long nowNanos) {
+        return !versions.isClosed(load.endpoint(), nowNanos)
+                && versions.isEverAllowed(load.endpoint(), choice(request, nowNanos));
+    }
+
     /** The slots that most requests can be granted now; an endpoint with a rate limit counts as one. */
     int freeSlots(long nowNanos) {
         return endpoints.values().stream()
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -115,7 +115,7 @@
         forgetExpired(nowNanos);
         SlotRequest request = refusals.matchRetry(offered, nowNanos).withPrecedenceOfResumption();
         recordForVersions(request);
-        if (endpoints.isWithoutTakers(request)) {
+        if (endpoints.isWithoutTakers(request, nowNanos)) {
             return ImmutableList.of(refusals.noEndpoint(request, nowNanos));
         }
         long wait = expectedWaitNanos(request, nowNanos);
