The origin of a stream is the run of the endpoint that was granted

Found by review: an endpoint that started again under its name with another version while it answered was recorded with the later version. SlotQueueVersionsTest.originIsThatOfTheRunThatWasGranted failed before (version 2 for 1).

--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotQueue.java
@@ -180,7 +180,7 @@
     }
 
     private static Optional<StreamOrigin> origin(Running entry) {
-        LiveEndpoint endpoint = entry.load().endpoint();
+        LiveEndpoint endpoint = entry.endpoint();
         return entry.request().stream().stream().stream()
                 .mapToObj(stream -> new StreamOrigin(endpoint.service(), stream, endpoint.softwareVersion()))
                 .findFirst();
@@ -216,7 +216,7 @@
                 .ifPresent(load -> {
                     load.adopt(request, nowNanos);
                     versions().adopt(request.key(), load.endpoint(), request.routeKey());
-                    running.put(request.key(), new Running(request, load));
+                    running.put(request.key(), new Running(request, load, load.endpoint()));
                 });
     }
 
@@ -326,7 +326,7 @@
         load.start(request, nowNanos);
         versions()
                 .recordStart(request.key(), load.endpoint(), request.routeKey(), EndpointLoad.work(request), nowNanos);
-        running.put(request.key(), new Running(request, load));
+        running.put(request.key(), new Running(request, load, load.endpoint()));
         dispatchRate.recordDispatch(nowNanos);
         refusals.recordDispatch(request);
         return new SlotDecision.Granted(
@@ -358,5 +358,10 @@
 
     private record Placement(SlotRequest request, EndpointLoad load) {}
 
-    private record Running(SlotRequest request, EndpointLoad load) {}
+    /**
+     * A request that holds a slot.
+     *
+     * @param endpoint the run that it was granted; the load may be that of a later run of the same name by now
+     */
+    private record Running(SlotRequest request, EndpointLoad load, LiveEndpoint endpoint) {}
 }
--- a/scheduler/src/test/java/org/cowslippick/scheduler/slot/SlotQueueVersionsTest.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/slot/SlotQueueVersionsTest.java
@@ -163,6 +163,36 @@
         assertEquals(1, granted("old-0"));
     }
 
+    /** Guards against streams that wait for a busy version and hide requests that another one can serve. */
+    @Test
+    void waitingResumptionsDoNotHideNewRequests() {
+        use(endpoint("old-0", OLD, false), endpoint("new-0", TARGET, false));
+        IntStream.range(0, 70).forEach(_number -> offerResumption(OLD));
+        offer(2);
+        assertEquals(2, granted("new-0"));
+    }
+
+    /** Guards against resumptions that wait in vain, as the roll-out allows no endpoint of their version. */
+    @Test
+    void resumptionThatARolloutForbidsIsRefusedAtOnce() {
+        useOldAndTarget();
+        plan(RolloutStage.SEALED, 1);
+        offerResumption(OLD);
+        assertEquals(1, refused());
+        plan(RolloutStage.ROLLED_BACK, 0);
+        offerResumption(TARGET);
+        assertEquals(2, refused());
+    }
+
+    /** Guards against an endpoint that starts again with its name and another version while it answers. */
+    @Test
+    void originIsThatOfTheRunThatWasGranted() {
+        use(endpoint("old-0", OLD, false));
+        SlotKey key = offerResumption(OLD);
+        use(endpoint("old-0", TARGET, false));
+        assertEquals(Optional.of(new StreamOrigin(SERVICE, STREAM, OLD)), queue.origin(key));
+    }
+
     @Test
     void originIsThatOfTheGrantedEndpoint() {
         use(endpoint("old-0", OLD, false));
