A version that the store names is usable while its confirmation is renewed

Found by review: each start held back all endpoints until a write was confirmed, for up to 1 s while the store did not answer. StreamTrackingTest.versionThatTheStoreNamesIsUsableAtOnce shows it.

--- a/relay/src/main/java/org/cowslippick/relay/stream/VersionSynchroniser.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/VersionSynchroniser.java
@@ -191,6 +191,7 @@
         ServiceName service = entry.service();
         ObservedVersions observed = observed(service);
         confirm(service, observed.confirmedBy(entry), "load");
+        passOnNamed(entry);
         Optional<RegisteredVersions> replacement = observed.replacement(entry, unconfirmed(service), removes);
         if (replacement.isEmpty()) {
             finish(service);
@@ -258,6 +259,18 @@
         synchronise();
     }
 
+    /** Versions that the entry names already are usable while their confirmation is renewed. */
+    private void passOnNamed(RegisteredVersions entry) {
+        ImmutableMap<Version, Presence> passedOn = present.change(
+                (version, presence) -> presence.state() == State.HELD
+                        && version.service().equals(entry.service())
+                        && entry.lastPresent().containsKey(version.softwareVersion()),
+                State.PASSED_ON_UNCONFIRMED);
+        if (!passedOn.isEmpty()) {
+            confirmationListener.run();
+        }
+    }
+
     private void confirm(ServiceName service, Set<String> confirmed, String source) {
         long now = timer.nanoTime();
         ImmutableMap<Version, Presence> changed = present.change(
