--- a/relay/src/main/java/org/cowslippick/relay/stream/OriginJournal.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/OriginJournal.java
@@ -126,8 +126,14 @@
     private void flush() {
         isScheduled = false;
         removeExpired();
-        ImmutableList<Recorded> batch =
-                unsaved.stream().filter(this::isOfMixedService).collect(ImmutableList.toImmutableList());
+        ImmutableSet<ServiceName> mixed = unsaved.stream()
+                .map(recorded -> recorded.origin().service())
+                .distinct()
+                .filter(isMixed)
+                .collect(ImmutableSet.toImmutableSet());
+        ImmutableList<Recorded> batch = unsaved.stream()
+                .filter(recorded -> mixed.contains(recorded.origin().service()))
+                .collect(ImmutableList.toImmutableList());
         if (batch.isEmpty()) {
             return;
         }
@@ -189,11 +195,10 @@
     }
 
     private boolean hasUnsavedOfMixedService() {
-        return unsaved.stream().anyMatch(this::isOfMixedService);
-    }
-
-    private boolean isOfMixedService(Recorded recorded) {
-        return isMixed.test(recorded.origin().service());
+        return unsaved.stream()
+                .map(recorded -> recorded.origin().service())
+                .distinct()
+                .anyMatch(isMixed);
     }
 
     private void removeExpired() {
