--- a/relay/src/main/java/org/cowslippick/relay/forwarding/RequestTerms.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/RequestTerms.java
@@ -86,7 +86,9 @@
 
     /** The stream that the request begins or resumes; empty if nobody can resume it. */
     OptionalLong stream() {
-        boolean isStream = request.resumption().isPresent() || ResumableRoutes.isResumable(admission.route());
+        boolean isResumption =
+                request.resumption().isPresent() && admission.route().kind() == RouteKind.EVENT_STREAM;
+        boolean isStream = isResumption || ResumableRoutes.isResumable(admission.route());
         return isStream ? OptionalLong.of(StreamIds.of(request.firstAttempt())) : OptionalLong.empty();
     }
 
--- a/relay/src/main/java/org/cowslippick/relay/message/CallerRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/message/CallerRequest.java
@@ -40,9 +40,12 @@
         long declaredTokens,
         long arrivedAtNanos) {
 
-    /** The caller's attempt that brought the first event of the stream, if the request resumes one; else this attempt. */
+    /** The attempt that brought the first event, if the request resumes a stream and names it; else this attempt. */
     public String firstAttempt() {
-        return resumption.map(StreamResumption::firstAttempt).orElse(attemptId);
+        return resumption
+                .map(StreamResumption::firstAttempt)
+                .filter(attempt -> !attempt.isEmpty())
+                .orElse(attemptId);
     }
 
     /** What an endpoint's crash may be due to, from the first part of the prompt to the request itself. */
