That a service has one version only is trusted if other instances agree

Found by review: an instance that had not learnt of a new version yet answered others that the old one was the only one, and the first answer counted, so a stream of the new version went on at the old one.

Cause: a deduction was passed on as if it were a recorded fact, and the origin was keyed by service, so that a stream of another service was unknown rather than foreign. Change: answers state what is recorded and what is deduced. A recorded origin counts at once. The deduction counts only if the asking instance makes it as well, nobody who answers differs, and its list is current or all have answered; not in the first seconds of a new era of the store. Origins belong to the stream, name their service, and are kept for the window after each resumption.

--- a/relay/src/main/java/org/cowslippick/relay/peer/StreamOriginExchange.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/StreamOriginExchange.java
@@ -1,10 +1,13 @@
 package org.cowslippick.relay.peer;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -19,6 +22,7 @@
 import org.cowslippick.fleet.peer.PeerNetwork;
 import org.cowslippick.fleet.wire.MessageType;
 import org.cowslippick.relay.slot.LocalSlotQueues;
+import org.cowslippick.relay.stream.OriginAnswer;
 import org.cowslippick.relay.stream.OriginPeers;
 
 /**
@@ -39,13 +43,13 @@
     private final PeerNetwork network;
     private final InstanceName self;
     private final Map<Long, Search> searches = new HashMap<>();
-    private final BiFunction<ServiceName, Long, Optional<String>> known;
+    private final BiFunction<ServiceName, Long, OriginAnswer> ownAnswer;
     private long lastNumber;
 
     /**
      * Creates an exchange.
      *
-     * @param known the version of a stream as far as this instance knows it by itself
+     * @param ownAnswer what this instance knows of a stream by itself
      */
     public StreamOriginExchange(
             InstanceName self,
@@ -53,8 +57,8 @@
             LocalSlotQueues localQueues,
             TimerService timer,
             PeerNetwork network,
-            BiFunction<ServiceName, Long, Optional<String>> known) {
-        this.known = known;
+            BiFunction<ServiceName, Long, OriginAnswer> ownAnswer) {
+        this.ownAnswer = ownAnswer;
         this.self = self;
         this.fleet = fleet;
         this.localQueues = localQueues;
@@ -65,16 +69,16 @@
     }
 
     @Override
-    public void ask(ServiceName service, long stream, Consumer<Optional<String>> onAnswer) {
+    public void ask(ServiceName service, long stream, Consumer<Answers> onAnswers) {
         ImmutableSet<InstanceName> receivers = receivers(service);
         if (receivers.isEmpty()) {
-            onAnswer.accept(Optional.empty());
+            onAnswers.accept(Answers.NONE);
             return;
         }
         lastNumber++;
         long number = lastNumber;
-        Subscription timeout = timer.schedule(ANSWER_TIMEOUT, () -> end(number, Optional.empty()));
-        searches.put(number, new Search(onAnswer, new HashSet<>(receivers), timeout));
+        Subscription timeout = timer.schedule(ANSWER_TIMEOUT, () -> end(number));
+        searches.put(number, new Search(onAnswers, new HashSet<>(receivers), new ArrayList<>(), timeout));
         receivers.forEach(receiver -> network.send(receiver, new StreamOriginMessages.Query(number, service, stream)));
     }
 
@@ -103,25 +107,35 @@
     private void received(PeerIdentity sender, StreamOriginMessages.Query query) {
         network.send(
                 sender.name(),
-                new StreamOriginMessages.Answer(query.number(), known.apply(query.service(), query.stream())));
+                new StreamOriginMessages.Answer(query.number(), ownAnswer.apply(query.service(), query.stream())));
     }
 
-    private void received(PeerIdentity sender, StreamOriginMessages.Answer answer) {
-        Optional.ofNullable(searches.get(answer.number())).ifPresent(search -> {
-            search.unanswered().remove(sender.name());
-            if (answer.version().isPresent() || search.unanswered().isEmpty()) {
-                end(answer.number(), answer.version());
-            }
-        });
+    private void received(PeerIdentity sender, StreamOriginMessages.Answer message) {
+        Optional.ofNullable(searches.get(message.number()))
+                .filter(search -> search.unanswered().remove(sender.name()))
+                .ifPresent(search -> {
+                    search.received().add(message.answer());
+                    if (message.answer().recorded().isPresent()
+                            || search.unanswered().isEmpty()) {
+                        end(message.number());
+                    }
+                });
     }
 
-    private void end(long number, Optional<String> version) {
+    private void end(long number) {
         Optional.ofNullable(searches.remove(number)).ifPresent(search -> {
             search.timeout().cancel();
-            search.onAnswer().accept(version);
+            search.onAnswers()
+                    .accept(new Answers(
+                            ImmutableList.copyOf(search.received()),
+                            search.unanswered().isEmpty()));
         });
     }
 
-    /** A query to several instances that has not been answered yet. */
-    private record Search(Consumer<Optional<String>> onAnswer, Set<InstanceName> unanswered, Subscription timeout) {}
+    /** A query to several instances that is under way. */
+    private record Search(
+            Consumer<Answers> onAnswers,
+            Set<InstanceName> unanswered,
+            List<OriginAnswer> received,
+            Subscription timeout) {}
 }
--- a/relay/src/main/java/org/cowslippick/relay/peer/StreamOriginMessages.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/StreamOriginMessages.java
@@ -8,6 +8,7 @@
 import org.cowslippick.fleet.wire.MessageWriter;
 import org.cowslippick.fleet.wire.PeerMessage;
 import org.cowslippick.fleet.wire.Priority;
+import org.cowslippick.relay.stream.OriginAnswer;
 
 /** Messages by which an instance asks others which software version has begun a stream. */
 final class StreamOriginMessages {
@@ -35,18 +36,26 @@
         }
     }
 
-    /** The answer to the query with the number; empty if the sender does not know the version. */
-    record Answer(long number, Optional<String> version) implements PeerMessage {
+    /** The answer to the query with the number. */
+    record Answer(long number, OriginAnswer answer) implements PeerMessage {
 
         private static void encode(Answer message, MessageWriter writer) {
             writer.writeLong(message.number);
-            writer.writeBoolean(message.version.isPresent());
-            message.version.ifPresent(writer::writeString);
+            encodeVersion(message.answer.recorded(), writer);
+            encodeVersion(message.answer.onlyVersion(), writer);
         }
 
         private static Answer decode(MessageReader reader) {
-            return new Answer(
-                    reader.readLong(), reader.readBoolean() ? Optional.of(reader.readString()) : Optional.empty());
+            return new Answer(reader.readLong(), new OriginAnswer(decodeVersion(reader), decodeVersion(reader)));
+        }
+
+        private static void encodeVersion(Optional<String> version, MessageWriter writer) {
+            writer.writeBoolean(version.isPresent());
+            version.ifPresent(writer::writeString);
+        }
+
+        private static Optional<String> decodeVersion(MessageReader reader) {
+            return reader.readBoolean() ? Optional.of(reader.readString()) : Optional.empty();
         }
     }
 }
--- a/relay/src/main/java/org/cowslippick/relay/stream/OriginFinder.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/OriginFinder.java
@@ -1,20 +1,24 @@
 package org.cowslippick.relay.stream;
 
+import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.cowslippick.core.time.TimerService;
 import org.cowslippick.core.world.ServiceName;
 import org.cowslippick.relay.log.LogLine;
 import org.cowslippick.relay.metrics.RelayEvent;
+import org.cowslippick.relay.stream.OriginPeers.Answers;
 import org.cowslippick.scheduler.stream.StreamOrigins;
 import org.jboss.logging.Logger;
 
 /**
- * Finds origins in the order of their price: in memory, by there being only one version, at other instances, in the store.
- * An origin that is found nowhere is not guessed.
+ * Finds origins in the order of their price: in memory, at other instances, by there being only one version, in the store.
+ * A recorded origin is a fact. That there is only one version is a deduction, which other instances have to share. An origin
+ * that is found nowhere is not guessed.
  */
 public final class OriginFinder {
 
@@ -23,6 +27,7 @@
     private final TimerService timer;
     private final StreamOrigins origins;
     private final Function<ServiceName, Optional<String>> onlyVersion;
+    private final BooleanSupplier isListCurrent;
     private final OriginPeers peers;
     private final Consumer<Consumer<Boolean>> storeReader;
     private final Consumer<RelayEvent> counter;
@@ -31,26 +36,29 @@
      * Creates a finder.
      *
      * @param onlyVersion the version of a service that alone can have begun streams; empty if there are several
+     * @param isListCurrent whether this instance has had the endpoints that the store lists a moment ago
      * @param storeReader adds the origins that the store holds to {@code origins}, and calls back with whether it could
      */
     public OriginFinder(
             TimerService timer,
             StreamOrigins origins,
             Function<ServiceName, Optional<String>> onlyVersion,
+            BooleanSupplier isListCurrent,
             OriginPeers peers,
             Consumer<Consumer<Boolean>> storeReader,
             Consumer<RelayEvent> counter) {
         this.timer = timer;
         this.origins = origins;
         this.onlyVersion = onlyVersion;
+        this.isListCurrent = isListCurrent;
         this.peers = peers;
         this.storeReader = storeReader;
         this.counter = counter;
     }
 
-    /** The version as far as this instance knows it by itself. */
-    public Optional<String> known(ServiceName service, long stream) {
-        return origins.find(service, stream).or(() -> onlyVersion.apply(service));
+    /** What this instance answers others. */
+    public OriginAnswer answer(ServiceName service, long stream) {
+        return new OriginAnswer(origins.find(service, stream), onlyVersion.apply(service));
     }
 
     /** Calls the consumer once, possibly before this method returns, with nothing if the version is unknown. */
@@ -61,22 +69,39 @@
             onFound.accept(version);
         };
         Optional<String> recorded = origins.find(service, stream);
-        if (recorded.isPresent()) {
+        if (recorded.isPresent() || origins.isContradictory(service, stream)) {
             answer.accept(Source.MEMORY, recorded);
             return;
         }
-        Optional<String> only = onlyVersion.apply(service);
-        if (only.isPresent()) {
+        peers.ask(service, stream, answers -> evaluate(service, stream, answers, answer));
+    }
+
+    private void evaluate(
+            ServiceName service, long stream, Answers answers, BiConsumer<Source, Optional<String>> answer) {
+        ImmutableSet<String> recorded = answers.received().stream()
+                .flatMap(received -> received.recorded().stream())
+                .collect(ImmutableSet.toImmutableSet());
+        Optional<String> only = onlyVersion.apply(service).filter(version -> isAgreed(version, answers));
+        if (recorded.size() == 1) {
+            answer.accept(Source.INSTANCE, recorded.stream().findFirst());
+        } else if (recorded.isEmpty() && only.isPresent()) {
             answer.accept(Source.ONLY_VERSION, only);
-            return;
+        } else {
+            readStore(service, stream, answer);
         }
-        peers.ask(service, stream, answered -> {
-            if (answered.isPresent()) {
-                answer.accept(Source.INSTANCE, answered);
-            } else {
-                readStore(service, stream, answer);
-            }
-        });
+    }
+
+    /**
+     * Whether a version alone can have begun streams. An instance may not have learnt of another version yet; those that
+     * have served it have. Silent instances count only while this one does not have the present list of endpoints.
+     */
+    private boolean isAgreed(String version, Answers answers) {
+        boolean isEnough = isListCurrent.getAsBoolean()
+                || (answers.isComplete() && !answers.received().isEmpty());
+        return isEnough
+                && answers.received().stream()
+                        .allMatch(received ->
+                                received.onlyVersion().filter(version::equals).isPresent());
     }
 
     private void readStore(ServiceName service, long stream, BiConsumer<Source, Optional<String>> answer) {
--- a/relay/src/main/java/org/cowslippick/relay/stream/OriginPeers.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/OriginPeers.java
@@ -1,12 +1,24 @@
 package org.cowslippick.relay.stream;
 
-import java.util.Optional;
+import com.google.common.collect.ImmutableList;
 import java.util.function.Consumer;
 import org.cowslippick.core.world.ServiceName;
 
 /** Asks other instances for the origin of a stream. */
 public interface OriginPeers {
 
-    /** Calls the consumer once, with nothing if no instance that was asked knows the version in time. */
-    void ask(ServiceName service, long stream, Consumer<Optional<String>> onAnswer);
+    /** Calls the consumer once: when all have answered, when one has recorded the origin, or after a timeout. */
+    void ask(ServiceName service, long stream, Consumer<Answers> onAnswers);
+
+    /**
+     * The answers of other instances.
+     *
+     * @param received those that arrived in time
+     * @param isComplete whether all instances that were asked have answered
+     */
+    record Answers(ImmutableList<OriginAnswer> received, boolean isComplete) {
+
+        /** There is no other instance to ask. */
+        public static final Answers NONE = new Answers(ImmutableList.of(), true);
+    }
 }
--- a/relay/src/main/java/org/cowslippick/relay/stream/StreamTracking.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/StreamTracking.java
@@ -21,9 +21,12 @@
  */
 public final class StreamTracking implements StreamVersions {
 
-    /** Longer than an undisturbed poll of the store; a version that is not known after it is asked for elsewhere. */
+    /** Longer than an undisturbed poll of the store. */
     private static final Duration LIST_VALIDITY = Duration.ofSeconds(3);
 
+    /** Engines write their entries again within two seconds of a restart of the store. */
+    private static final Duration RESTORATION = Duration.ofSeconds(3);
+
     private final TimerService timer;
     private final ResumableRoutes routes;
     private final ServiceVersions versions;
@@ -32,8 +35,9 @@
     private final VersionRegistrar registrar;
     private final OriginJournal journal;
     private final OriginFinder finder;
-    private OriginPeers peers = (_service, _stream, onAnswer) -> onAnswer.accept(Optional.empty());
+    private OriginPeers peers = (_service, _stream, onAnswers) -> onAnswers.accept(OriginPeers.Answers.NONE);
     private Optional<Long> listedAtNanos = Optional.empty();
+    private Optional<Long> storeRestartedAtNanos = Optional.empty();
 
     /**
      * Creates the tracking of an instance without endpoints.
@@ -60,7 +64,8 @@
                 timer,
                 origins,
                 this::onlyVersion,
-                (service, stream, onAnswer) -> peers.ask(service, stream, onAnswer),
+                this::isListCurrent,
+                (service, stream, onAnswers) -> peers.ask(service, stream, onAnswers),
                 journal::read,
                 counter);
     }
@@ -101,6 +106,7 @@
 
     /** Writes once more what an older copy of the store lacks. */
     public void storeRestarted() {
+        storeRestartedAtNanos = Optional.of(timer.nanoTime());
         registrar.storeRestarted();
     }
 
@@ -122,9 +128,9 @@
         finder.find(service, stream, onFound);
     }
 
-    /** The version that has begun a stream, as far as this instance knows it by itself. */
-    public Optional<String> known(ServiceName service, long stream) {
-        return finder.known(service, stream);
+    /** What this instance answers others. */
+    public OriginAnswer answer(ServiceName service, long stream) {
+        return finder.answer(service, stream);
     }
 
     /** The number of streams whose origin is in memory. */
@@ -142,12 +148,17 @@
         return versions.isMixed(service, timer.nanoTime()) || registrar.isRegisteredMixed(service);
     }
 
-    /** A new version may have begun streams elsewhere while this instance has an old list of endpoints. */
+    /** A store that has restarted from an older copy lacks entries for a while. */
     private Optional<String> onlyVersion(ServiceName service) {
         long now = timer.nanoTime();
-        boolean isListCurrent = listedAtNanos
-                .filter(listed -> now - listed <= LIST_VALIDITY.toNanos())
+        return versions.only(service, now).filter(_version -> storeRestartedAtNanos
+                .filter(restarted -> now - restarted <= RESTORATION.toNanos())
+                .isEmpty());
+    }
+
+    private boolean isListCurrent() {
+        return listedAtNanos
+                .filter(listed -> timer.nanoTime() - listed <= LIST_VALIDITY.toNanos())
                 .isPresent();
-        return isListCurrent ? versions.only(service, now) : Optional.empty();
     }
 }
--- a/relay/src/test/java/org/cowslippick/relay/MixedVersionStreamTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/MixedVersionStreamTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.Locale;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -67,6 +68,21 @@
         }
     }
 
+    /** Nobody knows which version began the stream, and a guess could join two. */
+    @Test
+    void streamOfUnknownVersionIsRefused() throws Exception {
+        try (ScriptedEngine one = engine("v1");
+                ScriptedEngine other = engine("v2");
+                RelayHarness relay = new RelayHarness(one, other)) {
+            String response =
+                    relay.call("POST", "/chat/1", "X-Attempt: a2\r\nX-Last-Event: 1\r\nX-Resumes: a1\r\n", "hi");
+            assertTrue(response.startsWith("HTTP/1.1 503"), response);
+            assertTrue(response.toLowerCase(Locale.ROOT).contains("retry-after:"), response);
+            assertTrue(response.contains("stream-origin-unknown"), response);
+            assertEquals(0, one.requests().size() + other.requests().size(), response);
+        }
+    }
+
     /** Begins a stream and breaks it off after one event, and has the rest for a request that resumes it. */
     private static ScriptedEngine engine(String version) throws IOException {
         String event = "id: %d\ndata: " + version + "\n\n";
--- a/relay/src/test/java/org/cowslippick/relay/stream/StreamTrackingTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/stream/StreamTrackingTest.java
@@ -92,6 +92,66 @@
         assertEquals(Optional.empty(), find(STREAM));
     }
 
+    private static OriginPeers peer(OriginAnswer answer) {
+        return (_service, _stream, onAnswers) ->
+                onAnswers.accept(new OriginPeers.Answers(ImmutableList.of(answer), true));
+    }
+
+    /** Guards against an instance that has not learnt of a new version yet. */
+    @Test
+    void onlyVersionIsNotTrustedIfAnotherInstanceKnowsOfSeveral() {
+        list("v1");
+        streams.setPeers(peer(new OriginAnswer(Optional.empty(), Optional.empty())));
+        assertEquals(Optional.empty(), find(STREAM));
+    }
+
+    /** Guards against the deduction of an instance that knows less than the one that asks. */
+    @Test
+    void deductionOfAnotherInstanceIsNotTrusted() {
+        list("v1", "v2");
+        streams.setPeers(peer(new OriginAnswer(Optional.empty(), Optional.of("v1"))));
+        assertEquals(Optional.empty(), find(STREAM));
+    }
+
+    /** Guards against refusals of all streams while the store is down. */
+    @Test
+    void onlyVersionOfAnOldListIsTrustedIfAllAgree() {
+        list("v1");
+        timer.advance(Duration.ofSeconds(10));
+        streams.setPeers(peer(new OriginAnswer(Optional.empty(), Optional.of("v1"))));
+        assertEquals(Optional.of("v1"), find(STREAM));
+    }
+
+    /** Guards against streams of a service that a route no longer leads to. */
+    @Test
+    void streamOfAnotherServiceIsUnknown() {
+        list("v1");
+        streams.recordOrigin(new StreamOrigin(new ServiceName("other"), STREAM, "v1"));
+        assertEquals(Optional.empty(), find(STREAM));
+    }
+
+    /** Guards against a copy of the store that lacks a version which has begun streams. */
+    @Test
+    void onlyVersionIsNotTrustedRightAfterTheStoreRestarted() {
+        list("v1");
+        streams.storeRestarted();
+        assertEquals(Optional.empty(), find(STREAM));
+        timer.advance(Duration.ofSeconds(3));
+        list("v1");
+        assertEquals(Optional.of("v1"), find(STREAM));
+    }
+
+    /** Guards against starts that serve nothing for a second while the store does not confirm writes. */
+    @Test
+    void versionThatTheStoreNamesIsUsableAtOnce() {
+        list("v1");
+        timer.advance(Duration.ofSeconds(30));
+        versionStore.isSilent = true;
+        streams = newProcess();
+        list("v1");
+        assertEquals(List.of("v1"), usable);
+    }
+
     /** Guards against a version that takes over while no instance runs. */
     @Test
     void versionThatServedBeforeARestartMayHaveBegunStreams() {
@@ -157,6 +217,7 @@
     /** An entry that is written at once. */
     private static final class MemoryVersions implements VersionStore {
         private ImmutableList<RegisteredVersions> entries = ImmutableList.of();
+        private boolean isSilent;
 
         @Override
         public CompletableFuture<Optional<ImmutableList<RegisteredVersions>>> load() {
@@ -165,6 +226,9 @@
 
         @Override
         public CompletableFuture<Result> write(RegisteredVersions versions) {
+            if (isSilent) {
+                return new CompletableFuture<>();
+            }
             entries = ImmutableList.of(
                     new RegisteredVersions(versions.service(), versions.revision() + 1, versions.lastPresent()));
             return CompletableFuture.completedFuture(new Result(true, Optional.empty()));
--- a/scheduler/src/main/java/org/cowslippick/scheduler/stream/StreamOrigins.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/stream/StreamOrigins.java
@@ -13,44 +13,44 @@
     private static final int MAXIMUM_ENTRIES = 100_000;
 
     private final LongSupplier windowNanos;
-    private final Map<Key, Entry> entries = new LinkedHashMap<>();
+    private final Map<Long, Entry> entries = new LinkedHashMap<>();
 
-    /** Creates a table that keeps each origin for the window, in which a caller can resume the stream. */
+    /** Creates a table that keeps each origin for the window after its last recording. */
     public StreamOrigins(LongSupplier windowNanos) {
         this.windowNanos = windowNanos;
     }
 
     /**
-     * Records an origin, and forgets old ones. Of a stream that is recorded with two versions, none is known to be right.
+     * Records an origin, and forgets old ones. Of a stream that is recorded with two origins, none is known to be right.
      *
      * @return whether nothing was known of the stream
      */
     public boolean record(StreamOrigin origin, long nowNanos) {
-        Key key = new Key(origin.service(), origin.stream());
-        Entry known = entries.get(key);
-        if (known == null) {
-            forgetOld(nowNanos);
-            entries.put(key, new Entry(Optional.of(origin.softwareVersion()), nowNanos));
-            return true;
-        }
-        if (known.version()
-                .filter(version -> !version.equals(origin.softwareVersion()))
-                .isPresent()) {
-            entries.put(key, new Entry(Optional.empty(), known.atNanos()));
-        }
-        return false;
+        forgetOld(nowNanos);
+        Entry known = entries.remove(origin.stream());
+        boolean isContradictory = known != null && !known.origin().equals(Optional.of(origin));
+        entries.put(origin.stream(), new Entry(isContradictory ? Optional.empty() : Optional.of(origin), nowNanos));
+        return known == null;
     }
 
-    /** The version that has begun the stream; empty if it is unknown. */
+    /** The version of the service that has begun the stream; empty if it is unknown. */
     public Optional<String> find(ServiceName service, long stream) {
-        return Optional.ofNullable(entries.get(new Key(service, stream))).flatMap(Entry::version);
+        return Optional.ofNullable(entries.get(stream))
+                .flatMap(Entry::origin)
+                .filter(origin -> origin.service().equals(service))
+                .map(StreamOrigin::softwareVersion);
+    }
+
+    /** Whether the stream began elsewhere than in the service, or is recorded with two origins. */
+    public boolean isContradictory(ServiceName service, long stream) {
+        return entries.containsKey(stream) && find(service, stream).isEmpty();
     }
 
     public int size() {
         return entries.size();
     }
 
-    /** Entries are in the order of their first recording. */
+    /** Entries are in the order of their last recording. */
     private void forgetOld(long nowNanos) {
         long window = windowNanos.getAsLong();
         Iterator<Entry> oldest = entries.values().iterator();
@@ -59,8 +59,6 @@
         }
     }
 
-    private record Key(ServiceName service, long stream) {}
-
-    /** An origin; without a version if two have been recorded. */
-    private record Entry(Optional<String> version, long atNanos) {}
+    /** An origin; empty if two have been recorded. */
+    private record Entry(Optional<StreamOrigin> origin, long atNanos) {}
 }
--- a/scheduler/src/test/java/org/cowslippick/scheduler/stream/StreamOriginsTest.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/stream/StreamOriginsTest.java
@@ -39,6 +39,15 @@
         assertEquals(Optional.empty(), origins.find(SERVICE, 1));
     }
 
+    /** Guards against a stream that is resumed several times and outlives the window. */
+    @Test
+    void resumedStreamIsKept() {
+        record(1, "v1", 0);
+        record(1, "v1", WINDOW);
+        record(2, "v1", WINDOW + 1);
+        assertEquals(Optional.of("v1"), origins.find(SERVICE, 1));
+    }
+
     /** Guards against memory that grows with the number of streams. */
     @Test
     void forgetsStreamsThatNobodyCanResume() {
