Versions that served before a restart are not held back as new ones

After a kill of all instances, streams of all versions but the oldest were refused for seconds where roll-outs are in force.

Cause: the queue of a started process takes all versions but the oldest for new and holds them back for 3 s, in which the order of a roll-out may arrive. Change: versions that the store's registry names at the start of a process are not held back, once it has read the orders and none is for the service.

--- a/relay/src/main/java/org/cowslippick/relay/peer/RolloutDeciders.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/RolloutDeciders.java
@@ -79,6 +79,7 @@
                 .filter(rollout -> rollout.isFor(stored.order()))
                 .ifPresent(rollout -> rollout.adopt(status))));
         firstSeen.keySet().retainAll(orders.keySet());
+        localQueues.setOrderedServices(ImmutableSet.copyOf(orders.keySet()));
     }
 
     /** Stops deciding, as this instance no longer reads the store; another one that does takes over. */
--- a/relay/src/main/java/org/cowslippick/relay/slot/LocalSlotQueues.java
+++ b/relay/src/main/java/org/cowslippick/relay/slot/LocalSlotQueues.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -91,6 +92,27 @@
         queues.forEach((pool, queue) -> versionPlans.addTo(pool.service(), queue.versions(), timer.nanoTime()));
     }
 
+    /**
+     * Records versions of a service that had served when this process started. They are not held back like new ones, unless
+     * the store holds the order of a roll-out for the service.
+     */
+    public void addEstablishedVersions(ServiceName service, ImmutableSet<String> versions) {
+        versionPlans.addEstablished(service, versions);
+        applyEstablished();
+    }
+
+    /** Records the services of which the store holds the order of a roll-out. */
+    public void setOrderedServices(ImmutableSet<ServiceName> services) {
+        versionPlans.setOrderedServices(services);
+        applyEstablished();
+    }
+
+    private void applyEstablished() {
+        queues.forEach((pool, queue) -> queue.versions().addEstablished(versionPlans.established(pool.service())));
+        ImmutableList.copyOf(queues.keySet())
+                .forEach(pool -> deliver(queue(pool).advance(timer.nanoTime())));
+    }
+
     /** Applies the plan of a roll-out, unless it is older than the one in force; returns whether it is new. */
     public boolean applyPlan(RolloutPlan plan) {
         return versionPlans.apply(plan, versions(plan.service()), timer.nanoTime());
--- a/relay/src/main/java/org/cowslippick/relay/stream/StreamTracking.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/StreamTracking.java
@@ -1,8 +1,10 @@
 package org.cowslippick.relay.stream;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.cowslippick.core.routing.LiveEndpoint;
@@ -70,6 +72,11 @@
                 counter);
     }
 
+    /** Sets what is called with the versions of each service that had served when this process started. */
+    public void setEstablishedListener(BiConsumer<ServiceName, ImmutableSet<String>> listener) {
+        registrar.setEstablishedListener(listener);
+    }
+
     /** Starts to read and write the store. */
     public void start() {
         registrar.start();
--- a/relay/src/main/java/org/cowslippick/relay/stream/VersionRegistrar.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/VersionRegistrar.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BiConsumer;
 import java.util.function.BiPredicate;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -55,6 +56,11 @@
         this.synchroniser = new VersionSynchroniser(timer, store, versions, present, this::passOnChanges);
     }
 
+    /** Sets what is called with the versions of each service that had served when this process started. */
+    public void setEstablishedListener(BiConsumer<ServiceName, ImmutableSet<String>> listener) {
+        synchroniser.setEstablishedListener(listener);
+    }
+
     /** Loads the registry, until the store answers, and removes outdated versions from time to time. */
     public void start() {
         synchroniser.synchronise();
--- a/relay/src/main/java/org/cowslippick/relay/stream/VersionSynchroniser.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/VersionSynchroniser.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BiConsumer;
 import java.util.stream.Stream;
 import org.cowslippick.core.time.TimerService;
 import org.cowslippick.core.world.ServiceName;
@@ -48,6 +49,7 @@
     private boolean isStoreLost;
     private boolean isRemovalDue;
     private boolean isLoadPending;
+    private BiConsumer<ServiceName, ImmutableSet<String>> establishedListener = (_service, _versions) -> {};
     private int restarts;
 
     VersionSynchroniser(
@@ -63,6 +65,11 @@
         this.confirmationListener = confirmationListener;
     }
 
+    /** Sets what is called with the versions of each service that the registry names when it is first loaded. */
+    void setEstablishedListener(BiConsumer<ServiceName, ImmutableSet<String>> listener) {
+        establishedListener = listener;
+    }
+
     /** Loads the registry shortly, if it is not known or lacks something that this instance can write. */
     void synchronise() {
         if (isLoadNeeded()) {
@@ -159,6 +166,9 @@
         if (!isRegistryKnown) {
             isRegistryKnown = true;
             versions.setRegistryKnown();
+            entries.values()
+                    .forEach(entry -> establishedListener.accept(
+                            entry.service(), entry.lastPresent().keySet()));
             LOGGER.info(LogLine.of("versions-loaded")
                     .with("entries", entries.values().toString()));
         }
--- a/scheduler/src/main/java/org/cowslippick/scheduler/rollout/VersionGate.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/rollout/VersionGate.java
@@ -115,6 +115,13 @@
         selectProbed();
     }
 
+    /** Records versions that have served before this process started, which are not held back. */
+    public void addEstablished(Set<String> versions) {
+        knownVersions.addAll(versions);
+        heldUntilNanos.keySet().removeAll(versions);
+        selectProbed();
+    }
+
     /** The share concentrates on few target endpoints, so that these are as loaded as all will be. */
     private void selectProbed() {
         ImmutableSet<String> ids = plan.stream()
--- a/scheduler/src/test/java/org/cowslippick/scheduler/slot/SlotQueueVersionsTest.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/slot/SlotQueueVersionsTest.java
@@ -223,6 +223,16 @@
         assertEquals(2, granted("new-0"));
     }
 
+    /** Guards against streams of a version that are refused for seconds after a restart, as it counts as new. */
+    @Test
+    void establishedVersionIsNotHeldBack() {
+        queue.versions().enable(now);
+        queue.versions().addEstablished(ImmutableSet.of(OLD, TARGET));
+        use(endpoint("old-0", OLD, false), endpoint("new-0", TARGET, false));
+        offerResumption(TARGET);
+        assertEquals(1, granted("new-0"));
+    }
+
     /** Guards against refusals while old endpoints are free, and against use of the target without a share. */
     @Test
     void usesOldEndpointsWhileTheTargetHasNoShare() {
