--- a/relay/src/main/java/org/cowslippick/relay/peer/FleetSlotBroker.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/FleetSlotBroker.java
@@ -90,10 +90,7 @@
         this.notices = new EndpointNoticeExchange(this.self, fleet, localQueues, owners, timer, network);
         network.subscribe(SlotMessages.Acquire.class, this::onAcquire);
         network.subscribe(SlotMessages.Adopt.class, this::onAdopt);
-        network.subscribe(
-                SlotMessages.ResponseStarted.class,
-                (sender, message) ->
-                        recordResponseStart(message.pool(), key(sender, message.number()), message.load()));
+        network.subscribe(SlotMessages.ResponseStarted.class, this::onResponseStarted);
         network.subscribe(
                 SlotMessages.Released.class,
                 (sender, message) ->
@@ -142,6 +139,9 @@
                     new SlotMessages.AgedMachineLoad(percent, timer.nanoTime() - localRequest.loadAsOfNanos));
             if (localRequest.owner.equals(self)) {
                 recordResponseStart(localRequest.pool, key, load);
+                if (!localRequest.responseStarted) {
+                    localQueues.reportOrigin(localRequest.pool, key);
+                }
             } else if (!localRequest.responseStarted) {
                 send(localRequest.owner, new SlotMessages.ResponseStarted(localRequest.pool, key.number(), load));
             }
@@ -356,6 +356,12 @@
         localQueues.adopt(message.pool(), message.request().toRequest(key, timer.nanoTime()), message.endpoint());
     }
 
+    private void onResponseStarted(PeerIdentity sender, SlotMessages.ResponseStarted message) {
+        SlotKey key = key(sender, message.number());
+        recordResponseStart(message.pool(), key, message.load());
+        localQueues.reportOrigin(message.pool(), key);
+    }
+
     private void onQueued(PeerIdentity sender, SlotMessages.Queued message) {
         findWaiting(sender, message.number()).ifPresent(LocalRequest::cancelTimeout);
     }
--- a/relay/src/main/java/org/cowslippick/relay/slot/LocalSlotQueues.java
+++ b/relay/src/main/java/org/cowslippick/relay/slot/LocalSlotQueues.java
@@ -66,7 +66,7 @@
         promptReuseWindow = window;
     }
 
-    /** Sets what is called with the origin of each stream whose slot these queues granted, possibly several times. */
+    /** Sets what is called with the origin of each stream whose slot these queues granted. */
     public void setOriginListener(Consumer<StreamOrigin> listener) {
         originListener = listener;
     }
@@ -183,6 +183,10 @@
     /** Reports that the first part of the response has arrived. */
     public void responseStarted(SlotPool pool, SlotKey key) {
         queue(pool).recordAnswerStart(key, timer.nanoTime());
+    }
+
+    /** Passes on the origin of the stream that has begun with the slot, if it can be resumed. */
+    public void reportOrigin(SlotPool pool, SlotKey key) {
         queue(pool).origin(key).ifPresent(originListener);
     }
 
