--- a/relay/src/main/java/org/cowslippick/relay/store/StoreListener.java
+++ b/relay/src/main/java/org/cowslippick/relay/store/StoreListener.java
@@ -10,7 +10,7 @@
     void onSnapshot(ImmutableCollection<StoreObject> objects, StorePosition asOf);
 
     /** Called after each response, once the listener has received all changes until then. */
-    default void onCurrent() {}
+    default void onUpToDate() {}
 
     /** Called once when the store stops responding. */
     default void onStoreLost() {}
--- a/relay/src/main/java/org/cowslippick/relay/stream/OriginFinder.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/OriginFinder.java
@@ -27,7 +27,7 @@
     private final TimerService timer;
     private final StreamOrigins origins;
     private final Function<ServiceName, Optional<String>> onlyVersion;
-    private final BooleanSupplier isListCurrent;
+    private final BooleanSupplier isUpToDate;
     private final OriginPeers peers;
     private final Consumer<Consumer<Boolean>> storeReader;
     private final Consumer<RelayEvent> counter;
@@ -36,21 +36,21 @@
      * Creates a finder.
      *
      * @param onlyVersion the version of a service that alone can have begun streams; empty if there are several
-     * @param isListCurrent whether this instance has had the endpoints that the store lists a moment ago
+     * @param isUpToDate whether this instance has had the endpoints that the store lists a moment ago
      * @param storeReader adds the origins that the store holds to {@code origins}, and calls back with whether it could
      */
     public OriginFinder(
             TimerService timer,
             StreamOrigins origins,
             Function<ServiceName, Optional<String>> onlyVersion,
-            BooleanSupplier isListCurrent,
+            BooleanSupplier isUpToDate,
             OriginPeers peers,
             Consumer<Consumer<Boolean>> storeReader,
             Consumer<RelayEvent> counter) {
         this.timer = timer;
         this.origins = origins;
         this.onlyVersion = onlyVersion;
-        this.isListCurrent = isListCurrent;
+        this.isUpToDate = isUpToDate;
         this.peers = peers;
         this.storeReader = storeReader;
         this.counter = counter;
@@ -96,7 +96,7 @@
      * have served it have. Silent instances count only while this one does not have the present list of endpoints.
      */
     private boolean isAgreed(String version, Answers answers) {
-        boolean isEnough = isListCurrent.getAsBoolean()
+        boolean isEnough = isUpToDate.getAsBoolean()
                 || (answers.isComplete() && !answers.received().isEmpty());
         return isEnough
                 && answers.received().stream()
--- a/relay/src/main/java/org/cowslippick/relay/stream/StreamTracking.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/StreamTracking.java
@@ -18,8 +18,10 @@
 import org.cowslippick.scheduler.stream.StreamOrigins;
 
 /**
- * Tracks which software versions begin streams on this instance and in the fleet. All methods must be called on one event
- * loop.
+ * Tracks which software versions begin streams on this instance and in the fleet. The origin of a stream is a fact, which is
+ * recorded when its first event arrives and passed on as it is. That a service has one version only is a deduction from the
+ * endpoints and the registry of the store; it is never recorded, and counts only if other instances make it too. All methods
+ * must be called on one event loop.
  */
 public final class StreamTracking implements StreamVersions {
 
@@ -38,7 +40,7 @@
     private final OriginJournal journal;
     private final OriginFinder finder;
     private OriginPeers peers = (_service, _stream, onAnswers) -> onAnswers.accept(OriginPeers.Answers.NONE);
-    private Optional<Long> listedAtNanos = Optional.empty();
+    private Optional<Long> upToDateAtNanos = Optional.empty();
     private Optional<Long> storeRestartedAtNanos = Optional.empty();
 
     /**
@@ -66,7 +68,7 @@
                 timer,
                 origins,
                 this::onlyVersion,
-                this::isListCurrent,
+                this::isUpToDate,
                 (service, stream, onAnswers) -> peers.ask(service, stream, onAnswers),
                 journal::read,
                 counter);
@@ -94,8 +96,8 @@
     }
 
     /** Records that this instance has the endpoints that the store lists now. */
-    public void endpointsListed() {
-        listedAtNanos = Optional.of(timer.nanoTime());
+    public void endpointsUpToDate() {
+        upToDateAtNanos = Optional.of(timer.nanoTime());
     }
 
     /** Applies the routes of a new configuration. */
@@ -163,8 +165,8 @@
                 .isEmpty());
     }
 
-    private boolean isListCurrent() {
-        return listedAtNanos
+    private boolean isUpToDate() {
+        return upToDateAtNanos
                 .filter(listed -> timer.nanoTime() - listed <= LIST_VALIDITY.toNanos())
                 .isPresent();
     }
--- a/relay/src/test/java/org/cowslippick/relay/stream/StreamTrackingTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/stream/StreamTrackingTest.java
@@ -53,7 +53,7 @@
     private void list(String... versions) {
         streams.setEndpoints(
                 Stream.of(versions).map(StreamTrackingTest::endpoint).collect(ImmutableList.toImmutableList()));
-        streams.endpointsListed();
+        streams.endpointsUpToDate();
         timer.advance(Duration.ofMillis(500));
     }
 
