--- a/relay/src/test/java/org/cowslippick/relay/peer/SlotMessagesTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/peer/SlotMessagesTest.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.cowslippick.core.world.InstanceName;
 import org.cowslippick.core.world.OrganisationName;
 import org.cowslippick.core.world.Region;
@@ -17,6 +18,7 @@
 import org.cowslippick.scheduler.slot.SlotKey;
 import org.cowslippick.scheduler.slot.SlotPool;
 import org.cowslippick.scheduler.slot.SlotRequest;
+import org.cowslippick.scheduler.stream.StreamTerms;
 import org.junit.jupiter.api.Test;
 
 class SlotMessagesTest {
@@ -46,7 +48,8 @@
                 ImmutableSet.of("engine-1"),
                 Optional.of(new OrganisationName("portalia")),
                 ImmutableSet.of("engine-2"),
-                ImmutableList.of(new PromptPart(Long.MIN_VALUE, 5_000), new PromptPart(-1, 1_000)));
+                ImmutableList.of(new PromptPart(Long.MIN_VALUE, 5_000), new PromptPart(-1, 1_000)),
+                new StreamTerms(OptionalLong.of(-7), Optional.of("v1")));
         SlotMessages.Adopt adopt = new SlotMessages.Adopt(
                 POOL, SlotMessages.RelativeSlotRequest.of(request, 150), "engine-1", new SpeedEstimate(1, 2, 3));
         SlotMessages.Adopt received = (SlotMessages.Adopt)
--- a/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotRequest.java
+++ b/scheduler/src/main/java/org/cowslippick/scheduler/slot/SlotRequest.java
@@ -51,49 +51,7 @@
         ImmutableList<PromptPart> promptParts,
         StreamTerms stream) {
 
-    /** Creates a request whose response cannot be resumed. */
-    public SlotRequest(
-            SlotKey key,
-            int rank,
-            int routeRank,
-            long fingerprint,
-            long promptTokens,
-            long answerTokens,
-            boolean isCallerRetry,
-            long maximumPauseNanos,
-            int tokensPerEvent,
-            long arrivedAtNanos,
-            long onTimeUntilNanos,
-            long queueDeadlineNanos,
-            long retryQueueDeadlineNanos,
-            long expiresAtNanos,
-            ImmutableSet<String> excludedEndpoints,
-            Optional<OrganisationName> organisation,
-            ImmutableSet<String> connectedEndpoints,
-            ImmutableList<PromptPart> promptParts) {
-        this(
-                key,
-                rank,
-                routeRank,
-                fingerprint,
-                promptTokens,
-                answerTokens,
-                isCallerRetry,
-                maximumPauseNanos,
-                tokensPerEvent,
-                arrivedAtNanos,
-                onTimeUntilNanos,
-                queueDeadlineNanos,
-                retryQueueDeadlineNanos,
-                expiresAtNanos,
-                excludedEndpoints,
-                organisation,
-                connectedEndpoints,
-                promptParts,
-                StreamTerms.NONE);
-    }
-
-    /** Creates a request that names no parts of its prompt. */
+    /** Creates a request that names no parts of its prompt, and whose response cannot be resumed. */
     public SlotRequest(
             SlotKey key,
             int rank,
@@ -130,7 +88,8 @@
                 excludedEndpoints,
                 organisation,
                 connectedEndpoints,
-                ImmutableList.of());
+                ImmutableList.of(),
+                StreamTerms.NONE);
     }
 
     /** Creates a request of an anonymous caller by an instance without connections. */
--- a/scheduler/src/test/java/org/cowslippick/scheduler/slot/KeptPartsPlacementTest.java
+++ b/scheduler/src/test/java/org/cowslippick/scheduler/slot/KeptPartsPlacementTest.java
@@ -18,6 +18,7 @@
 import org.cowslippick.core.world.ServiceName;
 import org.cowslippick.scheduler.engine.SpeedEstimate;
 import org.cowslippick.scheduler.prefix.PromptPart;
+import org.cowslippick.scheduler.stream.StreamTerms;
 import org.junit.jupiter.api.Test;
 
 /** Placement of requests whose prompts begin with parts that engines may keep. */
@@ -210,7 +211,8 @@
                 ImmutableSet.of(),
                 Optional.empty(),
                 ImmutableSet.of(),
-                ImmutableList.of(new PromptPart(sharedPart, SHARED_TOKENS), new PromptPart(lastNumber, OWN_TOKENS)));
+                ImmutableList.of(new PromptPart(sharedPart, SHARED_TOKENS), new PromptPart(lastNumber, OWN_TOKENS)),
+                StreamTerms.NONE);
     }
 
     private static LiveEndpoint endpoint(int index, long startedAtMilliseconds) {
