An instance that has just started does not contradict that there is one version

Change: answers name the versions that the instance knows to have served; only another version contradicts the deduction. Evidence: StreamTrackingTest.onlyVersionIsTrustedIfAnotherInstanceHasJustStarted; by reading, not seen in a play.

--- a/relay/src/main/java/org/cowslippick/relay/peer/StreamOriginMessages.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/StreamOriginMessages.java
@@ -41,21 +41,17 @@
 
         private static void encode(Answer message, MessageWriter writer) {
             writer.writeLong(message.number);
-            encodeVersion(message.answer.recorded(), writer);
-            encodeVersion(message.answer.onlyVersion(), writer);
+            writer.writeBoolean(message.answer.recorded().isPresent());
+            message.answer.recorded().ifPresent(writer::writeString);
+            writer.writeList(message.answer.possible(), (version, list) -> list.writeString(version));
         }
 
         private static Answer decode(MessageReader reader) {
-            return new Answer(reader.readLong(), new OriginAnswer(decodeVersion(reader), decodeVersion(reader)));
-        }
-
-        private static void encodeVersion(Optional<String> version, MessageWriter writer) {
-            writer.writeBoolean(version.isPresent());
-            version.ifPresent(writer::writeString);
-        }
-
-        private static Optional<String> decodeVersion(MessageReader reader) {
-            return reader.readBoolean() ? Optional.of(reader.readString()) : Optional.empty();
+            return new Answer(
+                    reader.readLong(),
+                    new OriginAnswer(
+                            reader.readBoolean() ? Optional.of(reader.readString()) : Optional.empty(),
+                            ImmutableSet.copyOf(reader.readList(MessageReader::readString))));
         }
     }
 }
--- a/relay/src/main/java/org/cowslippick/relay/stream/OriginFinder.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/OriginFinder.java
@@ -27,6 +27,7 @@
     private final TimerService timer;
     private final StreamOrigins origins;
     private final Function<ServiceName, Optional<String>> onlyVersion;
+    private final Function<ServiceName, ImmutableSet<String>> possibleVersions;
     private final BooleanSupplier isUpToDate;
     private final OriginPeers peers;
     private final Consumer<Consumer<Boolean>> storeReader;
@@ -36,6 +37,7 @@
      * Creates a finder.
      *
      * @param onlyVersion the version of a service that alone can have begun streams; empty if there are several
+     * @param possibleVersions the versions of a service that can have begun streams, as far as this instance knows
      * @param isUpToDate whether this instance has had the endpoints that the store lists a moment ago
      * @param storeReader adds the origins that the store holds to {@code origins}, and calls back with whether it could
      */
@@ -43,6 +45,7 @@
             TimerService timer,
             StreamOrigins origins,
             Function<ServiceName, Optional<String>> onlyVersion,
+            Function<ServiceName, ImmutableSet<String>> possibleVersions,
             BooleanSupplier isUpToDate,
             OriginPeers peers,
             Consumer<Consumer<Boolean>> storeReader,
@@ -50,6 +53,7 @@
         this.timer = timer;
         this.origins = origins;
         this.onlyVersion = onlyVersion;
+        this.possibleVersions = possibleVersions;
         this.isUpToDate = isUpToDate;
         this.peers = peers;
         this.storeReader = storeReader;
@@ -58,7 +62,7 @@
 
     /** What this instance answers others. */
     public OriginAnswer answer(ServiceName service, long stream) {
-        return new OriginAnswer(origins.find(service, stream), onlyVersion.apply(service));
+        return new OriginAnswer(origins.find(service, stream), possibleVersions.apply(service));
     }
 
     /** Calls the consumer once, possibly before this method returns, with nothing if the version is unknown. */
@@ -96,12 +100,12 @@
      * have served it have. Silent instances count only while this one does not have the present list of endpoints.
      */
     private boolean isAgreed(String version, Answers answers) {
-        boolean isEnough = isUpToDate.getAsBoolean()
-                || (answers.isComplete() && !answers.received().isEmpty());
-        return isEnough
-                && answers.received().stream()
-                        .allMatch(received ->
-                                received.onlyVersion().filter(version::equals).isPresent());
+        boolean isConfirmed = answers.received().stream()
+                .anyMatch(received -> received.possible().contains(version));
+        boolean isContradicted = answers.received().stream()
+                .flatMap(received -> received.possible().stream())
+                .anyMatch(possible -> !possible.equals(version));
+        return !isContradicted && (isUpToDate.getAsBoolean() || (answers.isComplete() && isConfirmed));
     }
 
     private void readStore(ServiceName service, long stream, BiConsumer<Source, Optional<String>> answer) {
--- a/relay/src/main/java/org/cowslippick/relay/stream/StreamTracking.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/StreamTracking.java
@@ -68,6 +68,7 @@
                 timer,
                 origins,
                 this::onlyVersion,
+                service -> versions.possible(service, timer.nanoTime()),
                 this::isUpToDate,
                 (service, stream, onAnswers) -> peers.ask(service, stream, onAnswers),
                 journal::read,
