Fewer streams are unknown after a kill of all instances, and their callers are not asked to return soon

Cause: an owner rewrote a segment of 4 s at each flush, so that its budget of bytes delayed flushes at some hundred streams a second, and the refusal named 1 s although nobody learns of the stream any more. Change: segments of 1 s, 24 of them; the refusal names 10 s, of which callers honour a third of their time. The test that names places in the ring names them by the number of segments now, with the same cases.

--- a/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/ForwardedRequest.java
@@ -28,8 +28,8 @@
 
     private static final Duration RETRY_AFTER_REFUSAL = Duration.ofMillis(100);
 
-    /** Allows an instance that has just started to hear of others and of the store. */
-    private static final Duration RETRY_AFTER_UNKNOWN_ORIGIN = Duration.ofSeconds(1);
+    /** What nobody knows is hardly learnt later, so that callers are not asked to return soon. */
+    private static final Duration RETRY_AFTER_UNKNOWN_ORIGIN = Duration.ofSeconds(10);
 
     private final ForwardingContext context;
     private final CallerRequest request;
--- a/relay/src/main/java/org/cowslippick/relay/stream/OriginSegments.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/OriginSegments.java
@@ -19,8 +19,8 @@
  */
 final class OriginSegments {
 
-    static final int SEGMENTS = 6;
-    static final Duration MINIMUM_SPAN = Duration.ofSeconds(4);
+    static final int SEGMENTS = 24;
+    static final Duration MINIMUM_SPAN = Duration.ofSeconds(1);
 
     /** Bounds the memory; the oldest are dropped. */
     static final int MAXIMUM_ORIGINS = 100_000;
--- a/relay/src/test/java/org/cowslippick/relay/stream/OriginSegmentsTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/stream/OriginSegmentsTest.java
@@ -58,11 +58,13 @@
     @Test
     void aRestartedProcessGoesOnAfterItsHighestSequence() {
         ImmutableList<StreamOrigin> none = ImmutableList.of();
-        stored.put(0, new OriginSegment(SELF, 0, 12, none));
-        stored.put(5, new OriginSegment(SELF, 5, 11, none));
-        stored.put(6, new OriginSegment(new InstanceName("front-2"), 3, 99, none));
+        int last = OriginSegments.SEGMENTS - 1;
+        long highest = 2L * OriginSegments.SEGMENTS;
+        stored.put(0, new OriginSegment(SELF, 0, highest, none));
+        stored.put(last, new OriginSegment(SELF, last, highest - 1, none));
+        stored.put(last + 1, new OriginSegment(new InstanceName("front-2"), 3, 99, none));
         OriginSegment segment = add(restarted(0), 1, 0, WINDOW_NANOS);
-        assertEquals(13, segment.sequence());
+        assertEquals(highest + 1, segment.sequence());
         assertEquals(1, segment.number());
     }
 
