Names of the platform's configuration may have any characters

What callers saw: a configuration that names an organisation "Llanes Sur" was never applied, nor any later one with that name. Dropped credentials went on being accepted, new ones got 401, and moved routes ran at the old service (CONFIG).

Cause: OrganisationName and the other names of core.world allowed only what a section header of the settings can hold, and ConfigurationDecoder makes these types of the platform's names. The exception ended the decoding of the whole document.

With the names allowed but not encoded, RelayTest.organisationNameOfAnyCharactersIsOneHeaderOfTheRequest failed: the request got 503, as no header can be made of the name.

The organisation's header is encoded in UTF-8, with control characters replaced by spaces, so that a name cannot add headers.

--- a/relay/src/main/java/org/cowslippick/relay/forwarding/RequestTerms.java
+++ b/relay/src/main/java/org/cowslippick/relay/forwarding/RequestTerms.java
@@ -16,6 +16,7 @@
 import org.cowslippick.core.routing.RoutedService;
 import org.cowslippick.relay.endpoint.Dispatch;
 import org.cowslippick.relay.message.CallerRequest;
+import org.cowslippick.relay.message.HeaderText;
 import org.cowslippick.relay.stream.ResumableRoutes;
 import org.cowslippick.relay.stream.StreamIds;
 import org.cowslippick.scheduler.slot.SlotKey;
@@ -106,7 +107,8 @@
         admission
                 .organisation()
                 .ifPresent(organisation -> headers.set(
-                        context.names().organisation(), organisation.name().value()));
+                        context.names().organisation(),
+                        HeaderText.encode(organisation.name().value())));
         progress.lastForwardedEvent()
                 .ifPresent(id -> headers.set(context.names().lastEvent(), id));
         return new Dispatch(head, request.body(), request.attemptId());
--- a/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
@@ -26,6 +26,7 @@
 import java.util.function.Consumer;
 import java.util.function.IntFunction;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.cowslippick.core.routing.CallerLimits;
 import org.cowslippick.core.routing.LiveEndpoint;
 import org.cowslippick.core.routing.OrganisationAccess;
@@ -97,6 +98,8 @@
     private static final Region REGION = new Region("asturias");
     private static final FailureDomain DOMAIN = new FailureDomain("oviedo", REGION);
     private static final OrganisationName ORGANISATION = new OrganisationName("portalia");
+    private static final OrganisationName ORGANISATION_OF_MANY_CHARACTERS =
+            new OrganisationName(" Peñamellera Baja, 梅\r\nX-Hold: 1\t");
     private static final long ENGINE_MEMORY_TOKENS = 465_349;
     private static final Duration PROMPT_REUSE_WINDOW = Duration.ofSeconds(10);
     private static final int KEPT_PER_ENDPOINT = 4;
@@ -212,7 +215,8 @@
     }
 
     static void send(Socket socket, String method, String path, String headers, String body) throws IOException {
-        String request = method + " " + path + " HTTP/1.1\r\nHost: example.org\r\nX-Key: key\r\n"
+        String request = method + " " + path + " HTTP/1.1\r\nHost: example.org\r\n"
+                + (headers.contains("X-Key: ") ? "" : "X-Key: key\r\n")
                 + (headers.contains("X-Attempt: ") ? "" : "X-Attempt: a1\r\n")
                 + (headers.contains("Connection: ") ? "" : "Connection: close\r\n") + headers
                 + "Content-Length: " + body.length() + "\r\n\r\n" + body;
@@ -283,8 +287,11 @@
                         route("report", RouteKind.EVENT_STREAM, 1, false)),
                 ImmutableList.of(),
                 CallerLimits.DEFAULT,
-                ImmutableMap.of("key", ORGANISATION),
-                ImmutableMap.of(ORGANISATION, new OrganisationAccess(ORGANISATION, Optional.empty(), Quota.UNLIMITED)));
+                ImmutableMap.of("key", ORGANISATION, "other-key", ORGANISATION_OF_MANY_CHARACTERS),
+                Stream.of(ORGANISATION, ORGANISATION_OF_MANY_CHARACTERS)
+                        .collect(ImmutableMap.toImmutableMap(
+                                name -> name,
+                                name -> new OrganisationAccess(name, Optional.empty(), Quota.UNLIMITED))));
     }
 
     private static Route route(String name, RouteKind kind, int endpoints, boolean resumable) {
--- a/relay/src/test/java/org/cowslippick/relay/RelayTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -45,6 +46,19 @@
         }
     }
 
+    /** A name that no header can hold as it is must neither add headers nor keep the request from being forwarded. */
+    @Test
+    void organisationNameOfAnyCharactersIsOneHeaderOfTheRequest() throws Exception {
+        try (ScriptedEngine engine = new ScriptedEngine(OK);
+                RelayHarness relay = new RelayHarness(engine)) {
+            String response = relay.call("POST", "/book/1", "X-Key: other-key\r\n", "hello");
+            assertTrue(response.startsWith("HTTP/1.1 200 OK"), response);
+            String sent =
+                    new String(engine.requests().get(0).getBytes(StandardCharsets.ISO_8859_1), StandardCharsets.UTF_8);
+            assertTrue(sent.contains("X-Organisation: Peñamellera Baja, 梅  X-Hold: 1\n"), sent);
+        }
+    }
+
     @Test
     void doesNotRetryAnAtMostOnceRequestThatMayHaveRun() throws Exception {
         try (ScriptedEngine broken = new ScriptedEngine(ScriptedEngine.RESET, OK, OK);
