--- a/fleet/src/main/java/org/cowslippick/fleet/http/BoundedJson.java
+++ b/fleet/src/main/java/org/cowslippick/fleet/http/BoundedJson.java
@@ -11,9 +11,12 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.io.Reader;
+import java.io.StringReader;
 import java.io.StringWriter;
 import java.io.UncheckedIOException;
 import java.util.Map;
+import java.util.Optional;
 
 /**
  * Reads JSON that other writers contributed to, and writes it. Values that are nested too deeply and numbers with too
@@ -41,9 +44,14 @@
     private BoundedJson() {}
 
     public static JsonNode read(String text) throws JsonProcessingException {
+        return read(new StringReader(text), JsonShape.ANY);
+    }
+
+    /** Reads what the shape selects from a reader over memory. */
+    public static JsonNode read(Reader text, JsonShape shape) throws JsonProcessingException {
         try (JsonParser parser = FACTORY.createParser(text)) {
             parser.nextToken();
-            return readValue(parser, 0);
+            return readValue(parser, 0, shape);
         } catch (JsonProcessingException malformed) {
             throw malformed;
         } catch (IOException impossible) {
@@ -97,20 +105,21 @@
         }
     }
 
-    private static JsonNode readValue(JsonParser parser, int depth) throws IOException {
+    private static JsonNode readValue(JsonParser parser, int depth, JsonShape shape) throws IOException {
         JsonNodeFactory nodes = JsonNodeFactory.instance;
         JsonToken token = parser.currentToken();
         if (token == null) {
             return nodes.missingNode();
         }
-        if (token.isStructStart() && depth >= MAXIMUM_DEPTH) {
-            parser.skipChildren();
-            return nodes.nullNode();
-        }
         return switch (token) {
-            case START_OBJECT -> readObject(parser, depth);
-            case START_ARRAY -> readArray(parser, depth);
-            case VALUE_STRING -> nodes.textNode(parser.getText());
+            case START_OBJECT ->
+                shape.isObject() && depth < MAXIMUM_DEPTH ? readObject(parser, depth, shape) : skip(parser);
+            case START_ARRAY ->
+                shape.isList() && depth < MAXIMUM_DEPTH ? readArray(parser, depth, shape) : skip(parser);
+            case VALUE_STRING ->
+                parser.getTextLength() <= shape.maximumTextCharacters()
+                        ? nodes.textNode(parser.getText())
+                        : nodes.nullNode();
             case VALUE_NUMBER_INT -> isLong(parser) ? nodes.numberNode(parser.getLongValue()) : nodes.nullNode();
             case VALUE_NUMBER_FLOAT -> isShort(parser) ? nodes.numberNode(parser.getDoubleValue()) : nodes.nullNode();
             case VALUE_TRUE, VALUE_FALSE -> nodes.booleanNode(token == JsonToken.VALUE_TRUE);
@@ -118,6 +127,11 @@
         };
     }
 
+    private static JsonNode skip(JsonParser parser) throws IOException {
+        parser.skipChildren();
+        return JsonNodeFactory.instance.nullNode();
+    }
+
     private static boolean isLong(JsonParser parser) throws IOException {
         return isShort(parser) && parser.getNumberType() != JsonParser.NumberType.BIG_INTEGER;
     }
@@ -126,20 +140,25 @@
         return parser.getTextLength() <= MAXIMUM_NUMBER_CHARACTERS;
     }
 
-    private static ObjectNode readObject(JsonParser parser, int depth) throws IOException {
+    private static ObjectNode readObject(JsonParser parser, int depth, JsonShape shape) throws IOException {
         ObjectNode object = JsonNodeFactory.instance.objectNode();
         while (parser.nextToken() == JsonToken.FIELD_NAME) {
             String name = parser.currentName();
+            Optional<JsonShape> field = shape.field(name);
             parser.nextToken();
-            object.set(name, readValue(parser, depth + 1));
+            if (field.isPresent()) {
+                object.set(name, readValue(parser, depth + 1, field.get()));
+            } else {
+                parser.skipChildren();
+            }
         }
         return object;
     }
 
-    private static ArrayNode readArray(JsonParser parser, int depth) throws IOException {
+    private static ArrayNode readArray(JsonParser parser, int depth, JsonShape shape) throws IOException {
         ArrayNode array = JsonNodeFactory.instance.arrayNode();
         while (parser.nextToken() != JsonToken.END_ARRAY && parser.currentToken() != null) {
-            array.add(readValue(parser, depth + 1));
+            array.add(readValue(parser, depth + 1, shape.element()));
         }
         return array;
     }
--- a/relay/src/main/java/org/cowslippick/relay/state/InstanceRegistry.java
+++ b/relay/src/main/java/org/cowslippick/relay/state/InstanceRegistry.java
@@ -16,6 +16,7 @@
 import org.cowslippick.core.world.InstanceName;
 import org.cowslippick.core.world.Region;
 import org.cowslippick.fleet.http.Addresses;
+import org.cowslippick.fleet.http.JsonShape;
 import org.cowslippick.relay.log.LogLine;
 import org.cowslippick.relay.store.ObjectStore;
 import org.cowslippick.relay.store.ObjectStore.WriteOutcome;
@@ -30,6 +31,10 @@
 
     public static final String KIND = "cowslippick-instances";
 
+    /** The fields of a registration that are read. */
+    public static final JsonShape SHAPE =
+            JsonShape.scalars("callers", "peers", "failureDomain", "region", "processors");
+
     private static final Logger LOGGER = Logger.getLogger("cowslippick.platform");
     private static final long MINIMUM_RETRY_DELAY_MILLISECONDS = 200;
     private static final long MAXIMUM_RETRY_DELAY_MILLISECONDS = 800;
