--- a/relay/src/main/java/org/cowslippick/relay/crash/CrashDetector.java
+++ b/relay/src/main/java/org/cowslippick/relay/crash/CrashDetector.java
@@ -39,7 +39,8 @@
     private final CrashHistory history = new CrashHistory();
     private final Map<LiveEndpoint, List<ImmutableList<String>>> unconfirmed = new HashMap<>();
     private ImmutableSet<String> knownQuarantined = ImmutableSet.of();
-    private Consumer<ImmutableList<CrashRecord>> onLocalChange = _changed -> {};
+    private final List<Consumer<ImmutableList<CrashRecord>>> localChangeListeners = new ArrayList<>();
+    private final List<Runnable> mergeListeners = new ArrayList<>();
     private long lastNumber;
 
     /** The {@code prober} opens a connection to an endpoint and closes it. */
@@ -54,9 +55,14 @@
         this.prober = prober;
     }
 
-    /** Sets the receiver of records that this instance has added or cleared suspects from. */
-    public void setLocalChangeListener(Consumer<ImmutableList<CrashRecord>> listener) {
-        onLocalChange = listener;
+    /** Adds a receiver of records that this instance has added or cleared suspects from. */
+    public void addLocalChangeListener(Consumer<ImmutableList<CrashRecord>> listener) {
+        localChangeListeners.add(listener);
+    }
+
+    /** Adds what is called when the evidence of another instance was new. */
+    public void addMergeListener(Runnable listener) {
+        mergeListeners.add(listener);
     }
 
     /** Called when the connection of a request broke before the endpoint began to answer it. */
@@ -80,22 +86,29 @@
         ImmutableList<CrashRecord> changed = history.merge(records, timer.nanoTime());
         if (!changed.isEmpty()) {
             logQuarantine(source);
+            mergeListeners.forEach(Runnable::run);
         }
         return changed;
     }
 
-    /** Why a request with these contents must not be sent to an endpoint, if so. */
-    public Optional<QuarantinedContent> quarantined(ServiceName service, ImmutableList<String> contents) {
-        long now = timer.nanoTime();
-        if (history.expire(now)) {
+    /** Merges evidence that instances wrote to the store. */
+    void restore(ImmutableCollection<CrashRecord> records) {
+        if (!history.merge(records, timer.nanoTime()).isEmpty()) {
             logQuarantine(self);
         }
+    }
+
+    /** Why a request with these contents must not be sent to an endpoint, if so. */
+    public Optional<QuarantinedContent> quarantined(ServiceName service, ImmutableList<String> contents) {
+        removeExpired();
         return history.quarantined(service, contents)
-                .map(content -> new QuarantinedContent(content, history.remainingTime(service, content, now)));
+                .map(content ->
+                        new QuarantinedContent(content, history.remainingTime(service, content, timer.nanoTime())));
     }
 
     /** All evidence that this instance holds, its own and that of others. */
     public ImmutableList<CrashRecord> records() {
+        removeExpired();
         return history.records();
     }
 
@@ -125,7 +138,13 @@
     private void changedLocally(ImmutableList<CrashRecord> changed) {
         if (!changed.isEmpty()) {
             logQuarantine(self);
-            onLocalChange.accept(changed);
+            localChangeListeners.forEach(listener -> listener.accept(changed));
+        }
+    }
+
+    private void removeExpired() {
+        if (history.expire(timer.nanoTime())) {
+            logQuarantine(self);
         }
     }
 
--- a/relay/src/main/java/org/cowslippick/relay/peer/CrashSynchroniser.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/CrashSynchroniser.java
@@ -35,7 +35,7 @@
         this.detector = detector;
         this.timer = timer;
         this.network = network;
-        detector.setLocalChangeListener(this::schedulePush);
+        detector.addLocalChangeListener(this::schedulePush);
         network.subscribe(CrashEvidence.class, this::received);
         timer.scheduleWithFixedDelay(DIGEST_PERIOD, this::sendDigest);
     }
