The harness of the relay sends its credential beside one that a test adds

Since it left its own out, so that two cases of JoinedRequestsTest, which send a second credential, failed. The test of names gives its credential by another method. Limits of callers can be changed, for a test that follows. RelayTest and JoinedRequestsTest pass.

--- a/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayHarness.java
@@ -113,6 +113,7 @@
     private final HostAndPort address;
     private final LoopClock clock;
     private final RelayMetrics metrics = new RelayMetrics();
+    private volatile CallerLimits limits = CallerLimits.DEFAULT;
 
     RelayHarness(ScriptedEngine... engines) throws IOException, InterruptedException {
         this(
@@ -151,7 +152,7 @@
                         .mapToObj(softwareVersions)
                         .collect(ImmutableSet.toImmutableSet()))));
         this.callers = new CallerConnections(
-                () -> table().limits(),
+                () -> limits,
                 timer,
                 monitor,
                 new RequestReader(NAMES),
@@ -171,6 +172,11 @@
                 .sync();
     }
 
+    /** Puts other limits of callers in force, as a new version of the configuration does. */
+    void setLimits(CallerLimits changed) {
+        limits = changed;
+    }
+
     /** Sends a request on a new connection, and returns all bytes until the relay closes or the read times out. */
     String call(String method, String path, String headers, String body) throws IOException {
         try (Socket socket = open()) {
@@ -214,9 +220,21 @@
         return loops.next().submit(metrics::text).get();
     }
 
+    /** Sends a request with another credential than {@link #call} does. */
+    String callWithKey(String key, String method, String path, String body) throws IOException {
+        try (Socket socket = open()) {
+            send(socket, key, method, path, "", body);
+            return readAll(socket);
+        }
+    }
+
     static void send(Socket socket, String method, String path, String headers, String body) throws IOException {
-        String request = method + " " + path + " HTTP/1.1\r\nHost: example.org\r\n"
-                + (headers.contains("X-Key: ") ? "" : "X-Key: key\r\n")
+        send(socket, "key", method, path, headers, body);
+    }
+
+    private static void send(Socket socket, String key, String method, String path, String headers, String body)
+            throws IOException {
+        String request = method + " " + path + " HTTP/1.1\r\nHost: example.org\r\nX-Key: " + key + "\r\n"
                 + (headers.contains("X-Attempt: ") ? "" : "X-Attempt: a1\r\n")
                 + (headers.contains("Connection: ") ? "" : "Connection: close\r\n") + headers
                 + "Content-Length: " + body.length() + "\r\n\r\n" + body;
--- a/relay/src/test/java/org/cowslippick/relay/RelayTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/RelayTest.java
@@ -51,7 +51,7 @@
     void organisationNameOfAnyCharactersIsOneHeaderOfTheRequest() throws Exception {
         try (ScriptedEngine engine = new ScriptedEngine(OK);
                 RelayHarness relay = new RelayHarness(engine)) {
-            String response = relay.call("POST", "/book/1", "X-Key: other-key\r\n", "hello");
+            String response = relay.callWithKey("other-key", "POST", "/book/1", "hello");
             assertTrue(response.startsWith("HTTP/1.1 200 OK"), response);
             String sent =
                     new String(engine.requests().get(0).getBytes(StandardCharsets.ISO_8859_1), StandardCharsets.UTF_8);
