A changed limit of headers reaches connections that are open

A lowered limit did not reach open connections either.

Cause: CallerServer gave the decoder of a connection the limit that was in force when it was accepted.

Change: CallerRequestDecoder replaces itself between two requests when the limit has changed; the new decoder gets the unread bytes.

--- a/relay/src/main/java/org/cowslippick/relay/caller/CallerServer.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/CallerServer.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import org.cowslippick.relay.message.SocketOptions;
 
@@ -16,8 +15,6 @@
 @SuppressWarnings("FutureReturnValueIgnored")
 public final class CallerServer {
 
-    private static final int MAXIMUM_REQUEST_LINE_BYTES = 8192;
-    private static final int MAXIMUM_CHUNK_BYTES = 16_384;
     private static final int ACCEPT_BACKLOG = 1024;
 
     private final ChannelFuture bindFuture;
@@ -56,8 +53,7 @@
         SocketOptions.apply(accepted);
         CallerConnection connection = new CallerConnection(connections);
         accepted.pipeline()
-                .addLast(new HttpRequestDecoder(
-                        MAXIMUM_REQUEST_LINE_BYTES, connections.limits().maximumHeaderBytes(), MAXIMUM_CHUNK_BYTES))
+                .addLast(new CallerRequestDecoder(connections::limits))
                 .addLast(new HttpResponseEncoder())
                 .addLast(connection);
     }
