That a service has one version only is confirmed by the registry

Cause: an instance trusted its list of endpoints for 3 s after it had read a response of the store, and took the instances that it knew to be live for all. The age counted from the reading, and engines join and begin streams in less than 3 s.

Evidence: four new cases of StreamTrackingTest failed on: the older version was named where the stream was of the other one.

Change: the deduction counts if the registry, read after the caller's return, names that version alone, as a version is in the registry before it begins streams. If it cannot be read, all registered instances have to answer. The calls that kept the age of the list are gone.

Tests replaced: onlyVersionOfAnOldListIsNotTrusted demanded a refusal because of the age of the list alone, with a store that answers; now the registry settles it, so the refusal is demanded while the registry cannot be read, for a new list as well as an old one. onlyVersionOfAnOldListIsTrustedIfAllAgree has a store that cannot be read now.

Cost: a list of the registry for resumptions that nobody has recorded, shared for 300 ms by all of an instance.

--- a/relay/src/main/java/org/cowslippick/relay/peer/FleetMembership.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/FleetMembership.java
@@ -131,6 +131,11 @@
         return members().size();
     }
 
+    /** The number of registered instances, including this one and those that are silent. */
+    int registeredCount() {
+        return instances.all().size();
+    }
+
     /** Whether this instance reads the store for others. */
     public boolean isCollector() {
         return isCollector;
--- a/relay/src/main/java/org/cowslippick/relay/peer/StreamOriginExchange.java
+++ b/relay/src/main/java/org/cowslippick/relay/peer/StreamOriginExchange.java
@@ -71,14 +71,15 @@
     @Override
     public void ask(ServiceName service, long stream, Consumer<Answers> onAnswers) {
         ImmutableSet<InstanceName> receivers = receivers(service);
+        boolean areAllAsked = receivers.size() == fleet.registeredCount() - 1;
         if (receivers.isEmpty()) {
-            onAnswers.accept(Answers.NONE);
+            onAnswers.accept(new Answers(ImmutableList.of(), true, areAllAsked));
             return;
         }
         lastNumber++;
         long number = lastNumber;
         Subscription timeout = timer.schedule(ANSWER_TIMEOUT, () -> end(number));
-        searches.put(number, new Search(onAnswers, new HashSet<>(receivers), new ArrayList<>(), timeout));
+        searches.put(number, new Search(onAnswers, new HashSet<>(receivers), new ArrayList<>(), areAllAsked, timeout));
         receivers.forEach(receiver -> network.send(receiver, new StreamOriginMessages.Query(number, service, stream)));
     }
 
@@ -128,7 +129,8 @@
             search.onAnswers()
                     .accept(new Answers(
                             ImmutableList.copyOf(search.received()),
-                            search.unanswered().isEmpty()));
+                            search.unanswered().isEmpty(),
+                            search.areAllAsked()));
         });
     }
 
@@ -137,5 +139,6 @@
             Consumer<Answers> onAnswers,
             Set<InstanceName> unanswered,
             List<OriginAnswer> received,
+            boolean areAllAsked,
             Subscription timeout) {}
 }
--- a/relay/src/main/java/org/cowslippick/relay/store/StoreListener.java
+++ b/relay/src/main/java/org/cowslippick/relay/store/StoreListener.java
@@ -9,9 +9,6 @@
     /** Receives all objects of the kind as of the store position. */
     void onSnapshot(ImmutableCollection<StoreObject> objects, StorePosition asOf);
 
-    /** Called after each response, once the listener has received all changes until then. */
-    default void onUpToDate() {}
-
     /** Called once when the store stops responding. */
     default void onStoreLost() {}
 
--- a/relay/src/main/java/org/cowslippick/relay/stream/OriginFinder.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/OriginFinder.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.BiConsumer;
-import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.cowslippick.core.time.TimerService;
@@ -17,8 +16,9 @@
 
 /**
  * Finds origins in the order of their price: in memory, at other instances, by there being only one version, in the store.
- * A recorded origin is a fact. That there is only one version is a deduction, which other instances have to share. An origin
- * that is found nowhere is not guessed.
+ * A recorded origin is a fact. That there is only one version is a deduction from what this instance has heard, and it may
+ * have been cut off or have stood still while another version joined. So the store's registry, read after the caller's
+ * return, has to confirm it. An origin that is found nowhere is not guessed.
  */
 public final class OriginFinder {
 
@@ -28,7 +28,7 @@
     private final StreamOrigins origins;
     private final Function<ServiceName, Optional<String>> onlyVersion;
     private final Function<ServiceName, ImmutableSet<String>> possibleVersions;
-    private final BooleanSupplier isUpToDate;
+    private final Registry registry;
     private final OriginPeers peers;
     private final Consumer<Consumer<Boolean>> storeReader;
     private final Consumer<RelayEvent> counter;
@@ -38,7 +38,6 @@
      *
      * @param onlyVersion the version of a service that alone can have begun streams; empty if there are several
      * @param possibleVersions the versions of a service that can have begun streams, as far as this instance knows
-     * @param isUpToDate whether this instance has had the endpoints that the store lists a moment ago
      * @param storeReader adds the origins that the store holds to {@code origins}, and calls back with whether it could
      */
     public OriginFinder(
@@ -46,7 +45,7 @@
             StreamOrigins origins,
             Function<ServiceName, Optional<String>> onlyVersion,
             Function<ServiceName, ImmutableSet<String>> possibleVersions,
-            BooleanSupplier isUpToDate,
+            Registry registry,
             OriginPeers peers,
             Consumer<Consumer<Boolean>> storeReader,
             Consumer<RelayEvent> counter) {
@@ -54,7 +53,7 @@
         this.origins = origins;
         this.onlyVersion = onlyVersion;
         this.possibleVersions = possibleVersions;
-        this.isUpToDate = isUpToDate;
+        this.registry = registry;
         this.peers = peers;
         this.storeReader = storeReader;
         this.counter = counter;
@@ -85,27 +84,45 @@
         ImmutableSet<String> recorded = answers.received().stream()
                 .flatMap(received -> received.recorded().stream())
                 .collect(ImmutableSet.toImmutableSet());
-        Optional<String> only = onlyVersion.apply(service).filter(version -> isAgreed(version, answers));
+        Optional<String> only = onlyVersion.apply(service).filter(version -> !isContradicted(version, answers));
         if (recorded.size() == 1) {
             answer.accept(Source.INSTANCE, recorded.stream().findFirst());
         } else if (recorded.isEmpty() && only.isPresent()) {
-            answer.accept(Source.ONLY_VERSION, only);
+            confirm(service, stream, only.get(), answers, answer);
         } else {
             readStore(service, stream, answer);
         }
     }
 
-    /**
-     * Whether a version alone can have begun streams. An instance may not have learnt of another version yet; those that
-     * have served it have. Silent instances count only while this one does not have the present list of endpoints.
-     */
-    private boolean isAgreed(String version, Answers answers) {
-        boolean isConfirmed = answers.received().stream()
-                .anyMatch(received -> received.possible().contains(version));
-        boolean isContradicted = answers.received().stream()
+    private static boolean isContradicted(String version, Answers answers) {
+        return answers.received().stream()
                 .flatMap(received -> received.possible().stream())
                 .anyMatch(possible -> !possible.equals(version));
-        return !isContradicted && (isUpToDate.getAsBoolean() || (answers.isComplete() && isConfirmed));
+    }
+
+    private void confirm(
+            ServiceName service,
+            long stream,
+            String version,
+            Answers answers,
+            BiConsumer<Source, Optional<String>> answer) {
+        registry.confirmOnly(service, version, registered -> {
+            // What the registry tells may have changed what this instance takes for possible.
+            boolean isOnly = onlyVersion.apply(service).filter(version::equals).isPresent()
+                    && registered.orElseGet(() -> isAgreedByAll(version, answers));
+            if (isOnly) {
+                answer.accept(Source.ONLY_VERSION, Optional.of(version));
+            } else {
+                readStore(service, stream, answer);
+            }
+        });
+    }
+
+    /** While the store is away no version can join, so the agreement of all registered instances takes its place. */
+    private static boolean isAgreedByAll(String version, Answers answers) {
+        return answers.areFromAll()
+                && answers.received().stream()
+                        .anyMatch(received -> received.possible().contains(version));
     }
 
     private void readStore(ServiceName service, long stream, BiConsumer<Source, Optional<String>> answer) {
@@ -128,6 +145,14 @@
                         Duration.ofNanos(timer.nanoTime() - startNanos).toMillis()));
     }
 
+    /** The versions that may begin streams, which are in the store before the first of them does. */
+    @FunctionalInterface
+    interface Registry {
+
+        /** Reads the registry; calls back with whether it names the version alone, or with nothing if it cannot be read. */
+        void confirmOnly(ServiceName service, String version, Consumer<Optional<Boolean>> onConfirmed);
+    }
+
     /** What told the version, or was asked last. */
     private enum Source {
         MEMORY,
--- a/relay/src/main/java/org/cowslippick/relay/stream/OriginJournal.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/OriginJournal.java
@@ -44,7 +44,7 @@
     private final LongSupplier windowNanos;
     private final Consumer<StreamOrigin> loadedOrigins;
     private final OriginSegments segments;
-    private final OriginLoader loader;
+    private final SharedLoader<OriginSegment> loader;
     private final Queue<Recorded> unsaved = new ArrayDeque<>();
     private Optional<Long> lastSaveNanos = Optional.empty();
     private boolean isScheduled;
@@ -72,7 +72,7 @@
         this.windowNanos = windowNanos;
         this.loadedOrigins = loadedOrigins;
         this.segments = new OriginSegments(self);
-        this.loader = new OriginLoader(timer, store, this::handOver);
+        this.loader = new SharedLoader<>(timer, store::load, this::handOver, OriginJournal::describe);
         this.earliestFlushNanos = timer.nanoTime();
     }
 
@@ -113,6 +113,16 @@
         loaded.stream().flatMap(segment -> segment.origins().stream()).forEach(loadedOrigins);
     }
 
+    private static LogLine describe(ImmutableList<OriginSegment> loaded) {
+        return LogLine.of("stream-origins-load")
+                .with("segments", loaded.size())
+                .with(
+                        "origins",
+                        loaded.stream()
+                                .mapToLong(segment -> segment.origins().size())
+                                .sum());
+    }
+
     /** Does nothing while a call is in progress, as its end schedules the next flush. */
     private void scheduleFlush(Duration delay) {
         if (isBusy || isScheduled) {
--- a/relay/src/main/java/org/cowslippick/relay/stream/OriginPeers.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/OriginPeers.java
@@ -15,10 +15,13 @@
      *
      * @param received those that arrived in time
      * @param isComplete whether all instances that were asked have answered
+     * @param areAllAsked whether all registered instances were asked, also those that are silent
      */
-    record Answers(ImmutableList<OriginAnswer> received, boolean isComplete) {
+    record Answers(ImmutableList<OriginAnswer> received, boolean isComplete, boolean areAllAsked) {
 
-        /** There is no other instance to ask. */
-        public static final Answers NONE = new Answers(ImmutableList.of(), true);
+        /** Whether every registered instance has answered. */
+        boolean areFromAll() {
+            return isComplete && areAllAsked;
+        }
     }
 }
--- a/relay/src/main/java/org/cowslippick/relay/stream/OriginLoader.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/SharedLoader.java
@@ -5,17 +5,22 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
 import org.cowslippick.core.time.TimerService;
 import org.cowslippick.relay.log.LogLine;
 import org.jboss.logging.Logger;
 
 /**
- * Loads the segments of all instances, one load at a time. A caller is served by a load that starts after its call, so
- * that it gets what the store held then; callers that arrive before its start share it.
+ * Loads what all instances have written to the store, one load at a time. A caller is served by a load that starts after its
+ * call, so that it gets what the store held then; callers that arrive before its start share it.
+ *
+ * @param <T> what is loaded
  */
 @SuppressWarnings("FutureReturnValueIgnored")
-final class OriginLoader {
+final class SharedLoader<T> {
 
     /** Between the starts of two loads, as the store limits the rate of calls. */
     static final Duration MINIMUM_INTERVAL = Duration.ofMillis(300);
@@ -23,21 +28,28 @@
     private static final Logger LOGGER = Logger.getLogger("cowslippick.streams");
 
     private final TimerService timer;
-    private final OriginStore store;
-    private final Consumer<ImmutableList<OriginSegment>> loaded;
+    private final Supplier<CompletableFuture<Optional<ImmutableList<T>>>> store;
+    private final Consumer<ImmutableList<T>> loaded;
+    private final Function<ImmutableList<T>, LogLine> description;
     private final List<Consumer<Boolean>> waiting = new ArrayList<>();
     private boolean isLoading;
     private boolean isScheduled;
     private long earliestStartNanos;
 
-    OriginLoader(TimerService timer, OriginStore store, Consumer<ImmutableList<OriginSegment>> loaded) {
+    /** Creates a loader; the description is the log line of a load. */
+    SharedLoader(
+            TimerService timer,
+            Supplier<CompletableFuture<Optional<ImmutableList<T>>>> store,
+            Consumer<ImmutableList<T>> loaded,
+            Function<ImmutableList<T>, LogLine> description) {
         this.timer = timer;
         this.store = store;
         this.loaded = loaded;
+        this.description = description;
         this.earliestStartNanos = timer.nanoTime();
     }
 
-    /** Hands over the segments and then calls back with whether the store responded. */
+    /** Hands over what was loaded and then calls back with whether the store responded. */
     void load(Consumer<Boolean> onLoaded) {
         waiting.add(onLoaded);
         startInTime();
@@ -65,33 +77,24 @@
         waiting.clear();
         isLoading = true;
         earliestStartNanos = startNanos + MINIMUM_INTERVAL.toNanos();
-        store.load()
+        store.get()
                 .exceptionally(failure -> {
-                    LOGGER.warn(LogLine.of("stream-origins-load-failed").with("cause", String.valueOf(failure)));
+                    LOGGER.warn(LogLine.of("load-failed").with("cause", String.valueOf(failure)));
                     return Optional.empty();
                 })
-                .thenAccept(segments -> finish(segments, served, startNanos));
+                .thenAccept(found -> finish(found, served, startNanos));
     }
 
-    private void finish(
-            Optional<ImmutableList<OriginSegment>> segments, ImmutableList<Consumer<Boolean>> served, long startNanos) {
+    private void finish(Optional<ImmutableList<T>> found, ImmutableList<Consumer<Boolean>> served, long startNanos) {
         isLoading = false;
-        log(segments, timer.nanoTime() - startNanos);
-        segments.ifPresent(loaded);
-        served.forEach(caller -> caller.accept(segments.isPresent()));
-        startInTime();
-    }
-
-    private static void log(Optional<ImmutableList<OriginSegment>> segments, long elapsedNanos) {
-        LOGGER.info(LogLine.of("stream-origins-load")
-                .with("isAnswered", segments.isPresent())
-                .with("segments", segments.map(ImmutableList::size).orElse(0))
+        LOGGER.info(description
+                .apply(found.orElseGet(ImmutableList::of))
+                .with("isAnswered", found.isPresent())
                 .with(
-                        "origins",
-                        segments.stream()
-                                .flatMap(ImmutableList::stream)
-                                .mapToLong(segment -> segment.origins().size())
-                                .sum())
-                .with("elapsedMs", Duration.ofNanos(elapsedNanos).toMillis()));
+                        "elapsedMs",
+                        Duration.ofNanos(timer.nanoTime() - startNanos).toMillis()));
+        found.ifPresent(loaded);
+        served.forEach(caller -> caller.accept(found.isPresent()));
+        startInTime();
     }
 }
--- a/relay/src/main/java/org/cowslippick/relay/stream/StreamTracking.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/StreamTracking.java
@@ -20,14 +20,11 @@
 /**
  * Tracks which software versions begin streams on this instance and in the fleet. The origin of a stream is a fact, which is
  * recorded when its first event arrives and passed on as it is. That a service has one version only is a deduction from the
- * endpoints and the registry of the store; it is never recorded, and counts only if other instances make it too. All methods
+ * endpoints and the registry of the store; it is never recorded, and counts only if the registry confirms it. All methods
  * must be called on one event loop.
  */
 public final class StreamTracking implements StreamVersions {
 
-    /** Longer than an undisturbed poll of the store. */
-    private static final Duration LIST_VALIDITY = Duration.ofSeconds(3);
-
     /** Engines write their entries again within two seconds of a restart of the store. */
     private static final Duration RESTORATION = Duration.ofSeconds(3);
 
@@ -39,8 +36,8 @@
     private final VersionRegistrar registrar;
     private final OriginJournal journal;
     private final OriginFinder finder;
-    private OriginPeers peers = (_service, _stream, onAnswers) -> onAnswers.accept(OriginPeers.Answers.NONE);
-    private Optional<Long> upToDateAtNanos = Optional.empty();
+    private OriginPeers peers = (_service, _stream, onAnswers) ->
+            onAnswers.accept(new OriginPeers.Answers(ImmutableList.of(), true, false));
     private Optional<Long> storeRestartedAtNanos = Optional.empty();
 
     /**
@@ -69,7 +66,7 @@
                 origins,
                 this::onlyVersion,
                 service -> versions.possible(service, timer.nanoTime()),
-                this::isUpToDate,
+                registrar::confirmOnly,
                 (service, stream, onAnswers) -> peers.ask(service, stream, onAnswers),
                 journal::read,
                 counter);
@@ -96,11 +93,6 @@
         journal.mixedChanged();
     }
 
-    /** Records that this instance has the endpoints that the store lists now. */
-    public void endpointsUpToDate() {
-        upToDateAtNanos = Optional.of(timer.nanoTime());
-    }
-
     /** Applies the routes of a new configuration. */
     public void routesChanged() {
         registrar.refresh();
@@ -165,10 +157,4 @@
                 .filter(restarted -> now - restarted <= RESTORATION.toNanos())
                 .isEmpty());
     }
-
-    private boolean isUpToDate() {
-        return upToDateAtNanos
-                .filter(listed -> timer.nanoTime() - listed <= LIST_VALIDITY.toNanos())
-                .isPresent();
-    }
 }
--- a/relay/src/main/java/org/cowslippick/relay/stream/VersionRegistrar.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/VersionRegistrar.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BiConsumer;
 import java.util.function.BiPredicate;
@@ -80,6 +81,11 @@
         return synchroniser.isMixed(service);
     }
 
+    /** Calls back with whether the store's registry names the version alone now; with nothing if it cannot be read. */
+    void confirmOnly(ServiceName service, String version, Consumer<Optional<Boolean>> onConfirmed) {
+        synchroniser.confirmOnly(service, version, onConfirmed);
+    }
+
     /** Applies a change of the services that are streamed. */
     public void refresh() {
         updatePresent();
--- a/relay/src/main/java/org/cowslippick/relay/stream/VersionSynchroniser.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/VersionSynchroniser.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.cowslippick.core.time.TimerService;
 import org.cowslippick.core.world.ServiceName;
@@ -42,6 +43,7 @@
     private final ServiceVersions versions;
     private final PresentVersions present;
     private final Runnable confirmationListener;
+    private final SharedLoader<RegisteredVersions> reader;
     private final Set<ServiceName> writing = new HashSet<>();
     private ImmutableMap<ServiceName, RegisteredVersions> entries = ImmutableMap.of();
     private ImmutableSet<ServiceName> servicesToRestore = ImmutableSet.of();
@@ -63,6 +65,8 @@
         this.versions = versions;
         this.present = present;
         this.confirmationListener = confirmationListener;
+        this.reader = new SharedLoader<>(timer, store::load, this::applyLoaded, loaded -> LogLine.of("versions-read")
+                .with("entries", loaded.size()));
     }
 
     /** Sets what is called with the versions of each service that the registry names when it is first loaded. */
@@ -84,6 +88,21 @@
                 .isPresent();
     }
 
+    /**
+     * Reads the registry, and calls back with whether it names the version alone. The read begins after the call, so that
+     * it has all versions that had been registered by then; empty if the store does not respond.
+     */
+    void confirmOnly(ServiceName service, String version, Consumer<Optional<Boolean>> onConfirmed) {
+        reader.load(isRead -> onConfirmed.accept(
+                Optional.of(isRead).filter(read -> read).map(_read -> isAloneRegistered(service, version))));
+    }
+
+    private boolean isAloneRegistered(ServiceName service, String version) {
+        return Optional.ofNullable(entries.get(service))
+                .filter(entry -> entry.lastPresent().keySet().equals(ImmutableSet.of(version)))
+                .isPresent();
+    }
+
     void setStoreLost(boolean isLost) {
         isStoreLost = isLost;
     }
--- a/relay/src/test/java/org/cowslippick/relay/peer/StreamOriginExchangeTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/peer/StreamOriginExchangeTest.java
@@ -59,7 +59,7 @@
     @Test
     void allAnswersAreAwaitedIfNoneIsRecorded() {
         ask(fleet(4), 4, STREAM + 1);
-        assertEquals(List.of(new Answers(ImmutableList.of(NOTHING, NOTHING, NOTHING), true)), answers);
+        assertEquals(List.of(new Answers(ImmutableList.of(NOTHING, NOTHING, NOTHING), true, true)), answers);
     }
 
     /** Guards against a caller that waits for an instance that was killed. */
@@ -70,7 +70,17 @@
         ask(fleet, 4, STREAM);
         assertEquals(List.of(), answers);
         fleet.timer().advance(Duration.ofSeconds(1));
-        assertEquals(List.of(new Answers(ImmutableList.of(NOTHING, NOTHING), false)), answers);
+        assertEquals(List.of(new Answers(ImmutableList.of(NOTHING, NOTHING), false, true)), answers);
+    }
+
+    /** Guards against instances that were cut off together and take those that answer for the whole fleet. */
+    @Test
+    void answersWithoutThoseOfInstancesThatHaveLongBeenSilentAreNotFromAll() {
+        SlotFleet fleet = fleet(4);
+        fleet.network().isolate(SlotFleet.name(KNOWING));
+        fleet.timer().advance(Duration.ofSeconds(10));
+        ask(fleet, 4, STREAM);
+        assertEquals(List.of(new Answers(ImmutableList.of(NOTHING, NOTHING), true, false)), answers);
     }
 
     /** Guards against queries to all instances of a large fleet. */
--- a/relay/src/test/java/org/cowslippick/relay/stream/OriginJournalTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/stream/OriginJournalTest.java
@@ -174,7 +174,7 @@
         assertEquals(1, store.loads.size());
         store.answerLoad(0, origin(1));
         assertEquals(List.of(true), results);
-        timer.advance(OriginLoader.MINIMUM_INTERVAL.minus(TICK));
+        timer.advance(SharedLoader.MINIMUM_INTERVAL.minus(TICK));
         assertEquals(1, store.loads.size());
         timer.advance(TICK);
         assertEquals(2, store.loads.size());
--- a/relay/src/test/java/org/cowslippick/relay/stream/StreamTrackingTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/stream/StreamTrackingTest.java
@@ -36,9 +36,13 @@
     private StreamTracking streams = newProcess();
 
     private StreamTracking newProcess() {
+        return newProcess("front-1");
+    }
+
+    private StreamTracking newProcess(String name) {
         StreamTracking started = new StreamTracking(
                 timer,
-                new InstanceName("front-1"),
+                new InstanceName(name),
                 () -> RoutingTable.NONE,
                 versionStore,
                 originStore,
@@ -51,10 +55,12 @@
         return started;
     }
 
+    private static ImmutableList<LiveEndpoint> endpoints(String... versions) {
+        return Stream.of(versions).map(StreamTrackingTest::endpoint).collect(ImmutableList.toImmutableList());
+    }
+
     private void list(String... versions) {
-        streams.setEndpoints(
-                Stream.of(versions).map(StreamTrackingTest::endpoint).collect(ImmutableList.toImmutableList()));
-        streams.endpointsUpToDate();
+        streams.setEndpoints(endpoints(versions));
         timer.advance(Duration.ofMillis(500));
     }
 
@@ -85,17 +91,88 @@
         assertEquals(Optional.of("v1"), find(STREAM));
     }
 
-    /** Guards against an instance that was cut off while another version began to serve. */
+    /** Guards against an instance that is cut off while another version begins to serve, however new its list is. */
+    @Test
+    void onlyVersionIsNotTrustedWhileTheRegistryCannotBeRead() {
+        list("v1");
+        versionStore.isReadable = false;
+        assertEquals(Optional.empty(), find(STREAM));
+        timer.advance(Duration.ofSeconds(10));
+        assertEquals(Optional.empty(), find(STREAM));
+    }
+
+    /** Guards against refusals by an instance that others read the store for. */
+    @Test
+    void onlyVersionOfAnOldListIsTrustedIfTheRegistryConfirmsIt() {
+        list("v1");
+        timer.advance(Duration.ofSeconds(10));
+        assertEquals(Optional.of("v1"), find(STREAM));
+    }
+
+    /** Guards against a deduction from a list that was the store's before a version joined that has begun the stream. */
+    @Test
+    void streamOfAVersionThatAnInstanceOutOfStepHasNotSeenIsFound() {
+        list("v1");
+        beginAtAnotherInstance(STREAM, "v2");
+        timer.advance(Duration.ofSeconds(1));
+        assertEquals(Optional.of("v2"), find(STREAM));
+    }
+
+    /** The other instance may not have written the origin yet. */
+    @Test
+    void streamOfAVersionThatAnInstanceOutOfStepHasNotSeenIsUnknownAtFirst() {
+        list("v1");
+        originStore.isAvailable = false;
+        beginAtAnotherInstance(STREAM, "v2");
+        assertEquals(Optional.empty(), find(STREAM));
+    }
+
+    /** A process that stood still reads responses that the store sent before. */
     @Test
-    void onlyVersionOfAnOldListIsNotTrusted() {
+    void responseOfTheStoreThatIsReadLateDoesNotMakeAnInstanceUpToDate() {
         list("v1");
+        beginAtAnotherInstance(STREAM, "v2");
         timer.advance(Duration.ofSeconds(10));
+        list("v1");
+        assertEquals(Optional.of("v2"), find(STREAM));
+    }
+
+    @Test
+    void instanceThatIsCutOffFromAllKnowsNothingOfStreamsOfOthers() {
+        list("v1");
+        beginAtAnotherInstance(STREAM, "v2");
+        versionStore.isReadable = false;
+        originStore.isAvailable = false;
         assertEquals(Optional.empty(), find(STREAM));
     }
 
+    /** Guards against an entry that names a version which had left, and which is not written again when it returns. */
+    @Test
+    void versionThatReturnsWhileTheStoreStillNamesItMayHaveBegunStreams() {
+        list("v1", "v2");
+        list("v1");
+        timer.advance(Duration.ofSeconds(30));
+        beginAtAnotherInstance(STREAM, "v2");
+        assertEquals(Optional.empty(), find(STREAM + 1));
+    }
+
+    /** Begins a stream at an instance that is in step; from then on it does not answer this one. */
+    private void beginAtAnotherInstance(long stream, String version) {
+        StreamTracking other = newProcess("front-2");
+        other.setEndpoints(endpoints("v1", "v2"));
+        timer.advance(Duration.ofMillis(100));
+        other.recordGranted(new StreamOrigin(SERVICE, stream, version));
+        streams.setPeers((_service, _stream, onAnswers) ->
+                onAnswers.accept(new OriginPeers.Answers(ImmutableList.of(), false, false)));
+    }
+
     private static OriginPeers peer(OriginAnswer answer) {
+        return peer(answer, true);
+    }
+
+    private static OriginPeers peer(OriginAnswer answer, boolean areAllAsked) {
         return (_service, _stream, onAnswers) ->
-                onAnswers.accept(new OriginPeers.Answers(ImmutableList.of(answer), true));
+                onAnswers.accept(new OriginPeers.Answers(ImmutableList.of(answer), true, areAllAsked));
     }
 
     /** Guards against an instance that has not learnt of a new version yet. */
@@ -127,10 +204,20 @@
     void onlyVersionOfAnOldListIsTrustedIfAllAgree() {
         list("v1");
         timer.advance(Duration.ofSeconds(10));
+        versionStore.isReadable = false;
         streams.setPeers(peer(new OriginAnswer(Optional.empty(), ImmutableSet.of("v1"))));
         assertEquals(Optional.of("v1"), find(STREAM));
     }
 
+    /** Guards against instances that are cut off together, and agree on what was true before. */
+    @Test
+    void agreementOfTheInstancesThatAnswerIsNotEnoughIfOthersAreSilent() {
+        list("v1");
+        versionStore.isReadable = false;
+        streams.setPeers(peer(new OriginAnswer(Optional.empty(), ImmutableSet.of("v1")), false));
+        assertEquals(Optional.empty(), find(STREAM));
+    }
+
     /** Guards against streams of a service that a route no longer leads to. */
     @Test
     void streamOfAnotherServiceIsUnknown() {
@@ -209,17 +296,21 @@
 
     /** Segments that are saved at once. */
     private static final class MemoryOrigins implements OriginStore {
-        private final Map<Integer, OriginSegment> segments = new HashMap<>();
+        private final Map<String, OriginSegment> segments = new HashMap<>();
+        private boolean isAvailable = true;
 
         @Override
         public CompletableFuture<Boolean> save(OriginSegment segment) {
-            segments.put(segment.number(), segment);
-            return CompletableFuture.completedFuture(true);
+            if (isAvailable) {
+                segments.put(OriginSegmentCodec.name(segment), segment);
+            }
+            return CompletableFuture.completedFuture(isAvailable);
         }
 
         @Override
         public CompletableFuture<Optional<ImmutableList<OriginSegment>>> load() {
-            return CompletableFuture.completedFuture(Optional.of(ImmutableList.copyOf(segments.values())));
+            return CompletableFuture.completedFuture(
+                    isAvailable ? Optional.of(ImmutableList.copyOf(segments.values())) : Optional.empty());
         }
     }
 
@@ -227,10 +318,11 @@
     private static final class MemoryVersions implements VersionStore {
         private ImmutableList<RegisteredVersions> entries = ImmutableList.of();
         private boolean isSilent;
+        private boolean isReadable = true;
 
         @Override
         public CompletableFuture<Optional<ImmutableList<RegisteredVersions>>> load() {
-            return CompletableFuture.completedFuture(Optional.of(entries));
+            return CompletableFuture.completedFuture(isReadable ? Optional.of(entries) : Optional.empty());
         }
 
         @Override
