A request line may be as long as the limit of headers allows

Cause: the decoder's limit of the request line was a constant.

Evidence: ChangedLimitsTest.requestLineMayBeAsLongAsTheLimitOfHeaders failed on (400 where 200 is due).

Change: the limit of the request line is that of the headers, and 8,192 bytes at least as before. The memory of a head is counted as it arrives, as before (ConnectionMeter).

Result: ChangedLimitsTest (5) passes.

--- a/relay/src/main/java/org/cowslippick/relay/caller/CallerRequestDecoder.java
+++ b/relay/src/main/java/org/cowslippick/relay/caller/CallerRequestDecoder.java
@@ -15,7 +15,9 @@
  */
 final class CallerRequestDecoder extends HttpRequestDecoder {
 
-    private static final int MAXIMUM_REQUEST_LINE_BYTES = 8192;
+    /** A request line may be as long as the other lines of a head together, and this long at least. */
+    private static final int MINIMUM_REQUEST_LINE_LIMIT_BYTES = 8192;
+
     private static final int MAXIMUM_CHUNK_BYTES = 16_384;
 
     private final Supplier<CallerLimits> limits;
@@ -27,7 +29,7 @@
     }
 
     private CallerRequestDecoder(Supplier<CallerLimits> limits, int maximumHeaderBytes) {
-        super(MAXIMUM_REQUEST_LINE_BYTES, maximumHeaderBytes, MAXIMUM_CHUNK_BYTES);
+        super(Math.max(MINIMUM_REQUEST_LINE_LIMIT_BYTES, maximumHeaderBytes), maximumHeaderBytes, MAXIMUM_CHUNK_BYTES);
         this.limits = limits;
         this.maximumHeaderBytes = maximumHeaderBytes;
     }
--- a/relay/src/test/java/org/cowslippick/relay/ChangedLimitsTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/ChangedLimitsTest.java
@@ -91,6 +91,14 @@
         assertEquals(200, readStatus());
     }
 
+    /** A path that the limit of heads allows was refused as malformed. */
+    @Test
+    void requestLineMayBeAsLongAsTheLimitOfHeaders() throws Exception {
+        limitHeaders(HIGH_HEADER_BYTES);
+        send(request(SMALL, "").replace("/look/1", "/look/" + "p".repeat(LARGE)));
+        assertEquals(200, readStatus());
+    }
+
     private void limitHeaders(int bytes) {
         relay.setLimits(new CallerLimits(
                 bytes,
