--- a/relay/src/main/java/org/cowslippick/relay/metrics/RelayEvent.java
+++ b/relay/src/main/java/org/cowslippick/relay/metrics/RelayEvent.java
@@ -23,6 +23,8 @@
     STREAM_ORIGIN_FOUND("stream_origins_found", "Resumed streams whose software version was found."),
     STREAM_ORIGIN_UNKNOWN(
             "stream_origins_unknown", "Resumed streams that were refused, as nobody knows their software version."),
+    CONFIGURATION_UNREADABLE(
+            "configurations_unreadable", "Configurations that were received and could not be applied."),
     CLIENT_EVICTED_FOR_MEMORY(
             "clients_evicted_for_memory", "Connections closed as the memory for clients was used up."),
     CLIENT_EVICTED_FOR_CONNECTIONS(
--- a/relay/src/main/java/org/cowslippick/relay/state/ConfigurationApplier.java
+++ b/relay/src/main/java/org/cowslippick/relay/state/ConfigurationApplier.java
@@ -2,14 +2,19 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.cowslippick.core.routing.RoutingTable;
 import org.cowslippick.fleet.http.BoundedJson;
 import org.cowslippick.relay.log.LogLine;
+import org.cowslippick.relay.metrics.RelayEvent;
 import org.cowslippick.relay.store.StoreObject;
 import org.jboss.logging.Logger;
 
-/** Puts configurations in force that come from the store or from another instance. One that is malformed is logged. */
+/**
+ * Puts configurations in force that come from the store or from another instance. One that is malformed is logged and
+ * counted, and the one before stays in force.
+ */
 public final class ConfigurationApplier {
 
     private static final Logger LOGGER = Logger.getLogger("cowslippick.platform");
@@ -19,6 +24,7 @@
     private final RoutingState routing;
     private final Function<JsonNode, RoutingTable> decoder;
     private final Runnable onApplied;
+    private final Consumer<RelayEvent> counter;
 
     /**
      * Creates an applier.
@@ -26,17 +32,22 @@
      * @param decoder throws {@link IllegalArgumentException} or {@link ArithmeticException} if the document is malformed
      * @param onApplied called after each document that could be decoded
      */
-    public ConfigurationApplier(RoutingState routing, Function<JsonNode, RoutingTable> decoder, Runnable onApplied) {
+    public ConfigurationApplier(
+            RoutingState routing,
+            Function<JsonNode, RoutingTable> decoder,
+            Runnable onApplied,
+            Consumer<RelayEvent> counter) {
         this.routing = routing;
         this.decoder = decoder;
         this.onApplied = onApplied;
+        this.counter = counter;
     }
 
     public void applyFromStore(StoreObject object) {
         try {
             apply(object.spec(), STORE);
         } catch (IllegalArgumentException | ArithmeticException malformed) {
-            logUnreadable(STORE, object.revision(), malformed);
+            reportUnreadable(STORE, object.revision(), malformed);
         }
     }
 
@@ -44,7 +55,7 @@
         try {
             apply(BoundedJson.read(document.text()), PEER);
         } catch (JsonProcessingException | IllegalArgumentException | ArithmeticException malformed) {
-            logUnreadable(PEER, document.version(), malformed);
+            reportUnreadable(PEER, document.version(), malformed);
         }
     }
 
@@ -53,7 +64,8 @@
         onApplied.run();
     }
 
-    private static void logUnreadable(String source, long version, Exception malformed) {
+    private void reportUnreadable(String source, long version, Exception malformed) {
+        counter.accept(RelayEvent.CONFIGURATION_UNREADABLE);
         LOGGER.error(LogLine.of("configuration-unreadable")
                 .with("source", source)
                 .with("version", version)
