--- a/relay/src/main/java/org/cowslippick/relay/stream/OriginJournal.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/OriginJournal.java
@@ -72,7 +72,8 @@
         this.windowNanos = windowNanos;
         this.loadedOrigins = loadedOrigins;
         this.segments = new OriginSegments(self);
-        this.loader = new SharedLoader<>(timer, store::load, this::handOver, OriginJournal::describe);
+        this.loader =
+                new SharedLoader<>(timer, "stream-origins-load", store::load, this::handOver, OriginJournal::describe);
         this.earliestFlushNanos = timer.nanoTime();
     }
 
@@ -113,9 +114,8 @@
         loaded.stream().flatMap(segment -> segment.origins().stream()).forEach(loadedOrigins);
     }
 
-    private static LogLine describe(ImmutableList<OriginSegment> loaded) {
-        return LogLine.of("stream-origins-load")
-                .with("segments", loaded.size())
+    private static LogLine describe(LogLine line, ImmutableList<OriginSegment> loaded) {
+        return line.with("segments", loaded.size())
                 .with(
                         "origins",
                         loaded.stream()
--- a/relay/src/main/java/org/cowslippick/relay/stream/SharedLoader.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/SharedLoader.java
@@ -6,8 +6,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import java.util.function.Supplier;
 import org.cowslippick.core.time.TimerService;
 import org.cowslippick.relay.log.LogLine;
@@ -30,19 +30,26 @@
     private final TimerService timer;
     private final Supplier<CompletableFuture<Optional<ImmutableList<T>>>> store;
     private final Consumer<ImmutableList<T>> loaded;
-    private final Function<ImmutableList<T>, LogLine> description;
+    private final String event;
+    private final BiFunction<LogLine, ImmutableList<T>, LogLine> description;
     private final List<Consumer<Boolean>> waiting = new ArrayList<>();
     private boolean isLoading;
     private boolean isScheduled;
     private long earliestStartNanos;
 
-    /** Creates a loader; the description is the log line of a load. */
+    /**
+     * Creates a loader.
+     *
+     * @param event the event of the log line of each load, which the description adds fields to
+     */
     SharedLoader(
             TimerService timer,
+            String event,
             Supplier<CompletableFuture<Optional<ImmutableList<T>>>> store,
             Consumer<ImmutableList<T>> loaded,
-            Function<ImmutableList<T>, LogLine> description) {
+            BiFunction<LogLine, ImmutableList<T>, LogLine> description) {
         this.timer = timer;
+        this.event = event;
         this.store = store;
         this.loaded = loaded;
         this.description = description;
@@ -79,7 +86,7 @@
         earliestStartNanos = startNanos + MINIMUM_INTERVAL.toNanos();
         store.get()
                 .exceptionally(failure -> {
-                    LOGGER.warn(LogLine.of("load-failed").with("cause", String.valueOf(failure)));
+                    LOGGER.warn(LogLine.of(event + "-failed").with("cause", String.valueOf(failure)));
                     return Optional.empty();
                 })
                 .thenAccept(found -> finish(found, served, startNanos));
@@ -88,7 +95,7 @@
     private void finish(Optional<ImmutableList<T>> found, ImmutableList<Consumer<Boolean>> served, long startNanos) {
         isLoading = false;
         LOGGER.info(description
-                .apply(found.orElseGet(ImmutableList::of))
+                .apply(LogLine.of(event), found.orElseGet(ImmutableList::of))
                 .with("isAnswered", found.isPresent())
                 .with(
                         "elapsedMs",
--- a/relay/src/main/java/org/cowslippick/relay/stream/VersionSynchroniser.java
+++ b/relay/src/main/java/org/cowslippick/relay/stream/VersionSynchroniser.java
@@ -65,8 +65,12 @@
         this.versions = versions;
         this.present = present;
         this.confirmationListener = confirmationListener;
-        this.reader = new SharedLoader<>(timer, store::load, this::applyLoaded, loaded -> LogLine.of("versions-read")
-                .with("entries", loaded.size()));
+        this.reader = new SharedLoader<>(
+                timer,
+                "versions-read",
+                store::load,
+                this::applyLoaded,
+                (line, loaded) -> line.with("entries", loaded.size()));
     }
 
     /** Sets what is called with the versions of each service that the registry names when it is first loaded. */
