The test of settling crash records has records of different ages when they are written

Its three crashes came within a second, so that nothing was written at all before the stop, and it passed without the age that it is about. With that age taken out of CrashJournal it fails now; CrashJournalTest (12) passes.

--- a/relay/src/test/java/org/cowslippick/relay/crash/CrashJournalTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/crash/CrashJournalTest.java
@@ -74,10 +74,12 @@
     @Test
     void recordsAreNotWrittenBeforeAnswersCanClearTheirParts() {
         CrashDetector before = start();
-        IntStream.range(0, 3).forEach(number -> {
-            timer.advance(Duration.ofMillis(310));
+        IntStream.range(0, 4).forEach(number -> {
             breakOff(before, ImmutableList.of("shared", "request-" + number));
+            timer.advance(Duration.ofMillis(330));
         });
+        timer.advance(UNTIL_WRITTEN.minusMillis(4 * 330));
+        assertTrue(store.text().contains("request-0"), store::text);
         assertFalse(isQuarantined(start(), ImmutableList.of("shared", "sound")));
     }
 
