--- a/relay/src/test/java/org/cowslippick/relay/crash/CrashJournalTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/crash/CrashJournalTest.java
@@ -97,10 +97,8 @@
     @Test
     void evidenceOfAnInstanceThatEndedBeforeItWroteIsWrittenByAnother() {
         CrashDetector other = start();
-        store.isAvailable = false;
-        CrashDetector reporter = start();
+        CrashDetector reporter = newDetector();
         breakOff(reporter, HARMFUL);
-        store.isAvailable = true;
         other.merge(new InstanceName("front-2"), reporter.records());
         timer.advance(CrashJournal.longestDelay(CrashJournal.TAKEOVER_DELAY));
         assertTrue(store.text().contains("harmful"), store::text);
@@ -165,13 +163,17 @@
         return startJournal().detector();
     }
 
-    private Started startJournal() {
+    private CrashDetector newDetector() {
         processes++;
-        CrashDetector detector = new CrashDetector(
+        return new CrashDetector(
                 new InstanceName("front-1"),
                 new Incarnation(processes),
                 timer,
                 (_address, listener) -> listener.accept(ProbeResult.REFUSED));
+    }
+
+    private Started startJournal() {
+        CrashDetector detector = newDetector();
         CrashJournal journal = new CrashJournal(timer, detector, store);
         journal.start();
         return new Started(detector, journal);
--- a/relay/src/test/java/org/cowslippick/relay/stream/StreamTrackingTest.java
+++ b/relay/src/test/java/org/cowslippick/relay/stream/StreamTrackingTest.java
@@ -156,6 +156,17 @@
         assertEquals(Optional.empty(), find(STREAM + 1));
     }
 
+    /** What the registry says counts each time, not only when it changes. */
+    @Test
+    void versionThatTheRegistryHasLongNamedMayHaveBegunStreams() {
+        list("v1");
+        beginAtAnotherInstance(STREAM, "v2");
+        timer.advance(Duration.ofSeconds(1));
+        assertEquals(Optional.of("v2"), find(STREAM));
+        timer.advance(Duration.ofSeconds(30));
+        assertEquals(Optional.empty(), find(STREAM + 1));
+    }
+
     /** Begins a stream at an instance that is in step; from then on it does not answer this one. */
     private void beginAtAnotherInstance(long stream, String version) {
         StreamTracking other = newProcess("front-2");
